--- /dev/null
+++ b/src/cmd-check.cc
@@ -0,0 +1,47 @@
+#include "oriolelever/commands.h"
+
+#include <fmt/format.h>
+
+#include "oriolelever/settings.h"
+
+namespace oriolelever {
+
+namespace {
+
+void checkSettings(const std::string &file, std::vector<Problem> &problems)
+{
+    const auto role = settingsRole(file);
+    const auto specs = settingSpecs(role.value_or(""));
+    if (specs.empty()) {
+        const bool readable = role.has_value();
+        problems.push_back({file, readable ? 1 : 0, readable ? "process.role" : "file", role.value_or(""),
+                            readable ? "balancer, agent or operator" : "a readable INI file"});
+        return;
+    }
+    readSettings(file, specs, problems);
+}
+
+int runCheck(Arguments arguments)
+{
+    if (arguments.empty()) {
+        return usageError("check needs at least one FILE");
+    }
+    std::vector<Problem> problems;
+    for (const auto &file : arguments) {
+        checkSettings(file, problems);
+    }
+    for (const auto &problem : problems) {
+        fmt::print("{}\n", toString(problem));
+    }
+    fmt::print("problems: {}\n", problems.size());
+    return problems.empty() ? exitOk : exitUsage;
+}
+
+} // namespace
+
+Command checkCommand()
+{
+    return {.name = "check", .usage = "FILE...", .summary = "Validates settings files.", .run = runCheck};
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,12 @@
+#include <array>
+
+#include "oriolelever/commands.h"
+
+int main(int argc, char **argv)
+{
+    const auto commands = std::to_array<oriolelever::Command>({
+        oriolelever::checkCommand(),
+        oriolelever::codesCommand(),
+    });
+    return oriolelever::runCommandLine("oriolelever", commands, argc, argv);
+}
