--- /dev/null
+++ b/src/sockets.cc
@@ -0,0 +1,265 @@
+#include "oriolelever/sockets.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/eventfd.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::size_t mappedOffset = 12;
+
+template<typename T>
+sockaddr *asSocketAddress(T &address)
+{
+    return reinterpret_cast<sockaddr *>(&address);
+}
+
+void setOption(int fd, int level, int name, int value)
+{
+    ::setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+int bindError(int fd, const SocketAddress &address)
+{
+    return ::bind(fd, reinterpret_cast<const sockaddr *>(&address.storage), address.size) == 0 ? 0 : errno;
+}
+
+} // namespace
+
+FileDescriptor::FileDescriptor(FileDescriptor &&other) noexcept
+    : m_fd(std::exchange(other.m_fd, -1))
+{
+}
+
+FileDescriptor &FileDescriptor::operator=(FileDescriptor &&other) noexcept
+{
+    std::swap(m_fd, other.m_fd);
+    return *this;
+}
+
+FileDescriptor::~FileDescriptor()
+{
+    reset();
+}
+
+void FileDescriptor::reset()
+{
+    if (m_fd >= 0) {
+        ::close(std::exchange(m_fd, -1));
+    }
+}
+
+SocketAddress toSocketAddress(const Endpoint &endpoint)
+{
+    SocketAddress address;
+    if (endpoint.address.isV4()) {
+        auto &v4 = reinterpret_cast<sockaddr_in &>(address.storage);
+        v4.sin_family = AF_INET;
+        v4.sin_port = htons(endpoint.port);
+        std::memcpy(&v4.sin_addr, endpoint.address.bytes.data() + mappedOffset, sizeof(v4.sin_addr));
+        address.size = sizeof(v4);
+        return address;
+    }
+    auto &v6 = reinterpret_cast<sockaddr_in6 &>(address.storage);
+    v6.sin6_family = AF_INET6;
+    v6.sin6_port = htons(endpoint.port);
+    std::memcpy(&v6.sin6_addr, endpoint.address.bytes.data(), sizeof(v6.sin6_addr));
+    address.size = sizeof(v6);
+    return address;
+}
+
+Endpoint toEndpoint(const sockaddr_storage &storage)
+{
+    Endpoint endpoint;
+    if (storage.ss_family == AF_INET) {
+        const auto &v4 = reinterpret_cast<const sockaddr_in &>(storage);
+        endpoint.address.bytes[10] = 0xff;
+        endpoint.address.bytes[11] = 0xff;
+        std::memcpy(endpoint.address.bytes.data() + mappedOffset, &v4.sin_addr, sizeof(v4.sin_addr));
+        endpoint.port = ntohs(v4.sin_port);
+        return endpoint;
+    }
+    const auto &v6 = reinterpret_cast<const sockaddr_in6 &>(storage);
+    std::memcpy(endpoint.address.bytes.data(), &v6.sin6_addr, sizeof(v6.sin6_addr));
+    endpoint.port = ntohs(v6.sin6_port);
+    return endpoint;
+}
+
+Result<FileDescriptor> openDatagramSocket(const Endpoint &local, const DatagramOptions &options)
+{
+    const auto address = toSocketAddress(local);
+    FileDescriptor socket(::socket(address.storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket) {
+        return fail(Code::SocketFailed,
+                    fmt::format("no UDP socket for {}: {}", toString(local), std::strerror(errno)));
+    }
+    if (options.reusePort) {
+        setOption(socket.value(), SOL_SOCKET, SO_REUSEPORT, 1);
+    }
+    setOption(socket.value(), SOL_SOCKET, SO_RCVBUF, options.bufferBytes);
+    setOption(socket.value(), SOL_SOCKET, SO_SNDBUF, options.bufferBytes);
+    if (local.address.isV4()) {
+        setOption(socket.value(), IPPROTO_IP, IP_MTU_DISCOVER,
+                  options.fragment ? IP_PMTUDISC_DONT : IP_PMTUDISC_DO);
+    }
+    const auto error = bindError(socket.value(), address);
+    if (error != 0) {
+        return fail(error == EADDRINUSE ? Code::AddressInUse : Code::SocketFailed,
+                    fmt::format("address {} cannot be bound: {}", toString(local), std::strerror(error)));
+    }
+    return socket;
+}
+
+Endpoint localEndpoint(const FileDescriptor &socket)
+{
+    sockaddr_storage storage{};
+    socklen_t size = sizeof(storage);
+    ::getsockname(socket.value(), asSocketAddress(storage), &size);
+    return toEndpoint(storage);
+}
+
+Result<FileDescriptor> openWakeDescriptor()
+{
+    FileDescriptor descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
+    if (!descriptor) {
+        return fail(Code::SocketFailed, fmt::format("no event descriptor: {}", std::strerror(errno)));
+    }
+    return descriptor;
+}
+
+void wake(const FileDescriptor &descriptor)
+{
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(descriptor.value(), &one, sizeof(one));
+}
+
+void clearWake(const FileDescriptor &descriptor)
+{
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto read = ::read(descriptor.value(), &count, sizeof(count));
+}
+
+struct ReceiveBatch::Buffers
+{
+    std::vector<std::uint8_t> memory;
+    std::vector<mmsghdr> messages;
+    std::vector<iovec> vectors;
+    std::vector<sockaddr_storage> senders;
+};
+
+ReceiveBatch::ReceiveBatch(std::size_t capacity, std::size_t bufferSize)
+    : m_buffers(std::make_unique<Buffers>())
+{
+    const std::size_t stride = headroom + bufferSize;
+    m_buffers->memory.resize(capacity * stride);
+    m_buffers->messages.resize(capacity);
+    m_buffers->vectors.resize(capacity);
+    m_buffers->senders.resize(capacity);
+    for (std::size_t i = 0; i < capacity; ++i) {
+        m_buffers->vectors[i] = {m_buffers->memory.data() + i * stride + headroom, bufferSize};
+        auto &header = m_buffers->messages[i].msg_hdr;
+        header.msg_iov = &m_buffers->vectors[i];
+        header.msg_iovlen = 1;
+        header.msg_name = &m_buffers->senders[i];
+    }
+}
+
+ReceiveBatch::~ReceiveBatch() = default;
+
+std::size_t ReceiveBatch::receive(const FileDescriptor &socket)
+{
+    auto &messages = m_buffers->messages;
+    for (auto &message : messages) {
+        message.msg_hdr.msg_namelen = sizeof(sockaddr_storage);
+    }
+    const int count = ::recvmmsg(socket.value(), messages.data(), static_cast<unsigned>(messages.size()),
+                                 MSG_DONTWAIT, nullptr);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
+std::span<std::uint8_t> ReceiveBatch::datagram(std::size_t index)
+{
+    return {static_cast<std::uint8_t *>(m_buffers->vectors[index].iov_base),
+            m_buffers->messages[index].msg_len};
+}
+
+const sockaddr_storage &ReceiveBatch::sender(std::size_t index) const
+{
+    return m_buffers->senders[index];
+}
+
+bool ReceiveBatch::isCut(std::size_t index) const
+{
+    return (m_buffers->messages[index].msg_hdr.msg_flags & MSG_TRUNC) != 0;
+}
+
+struct SendBatch::Buffers
+{
+    std::vector<mmsghdr> messages;
+    std::vector<iovec> vectors;
+    std::vector<SocketAddress> addresses;
+    std::size_t count = 0;
+};
+
+SendBatch::SendBatch(std::size_t capacity)
+    : m_buffers(std::make_unique<Buffers>())
+{
+    m_buffers->messages.resize(capacity);
+    m_buffers->vectors.resize(capacity);
+    m_buffers->addresses.resize(capacity);
+    for (std::size_t i = 0; i < capacity; ++i) {
+        auto &header = m_buffers->messages[i].msg_hdr;
+        header.msg_iov = &m_buffers->vectors[i];
+        header.msg_iovlen = 1;
+        header.msg_name = &m_buffers->addresses[i].storage;
+    }
+}
+
+SendBatch::~SendBatch() = default;
+
+bool SendBatch::isFull() const
+{
+    return m_buffers->count == m_buffers->messages.size();
+}
+
+void SendBatch::add(std::span<const std::uint8_t> bytes, const SocketAddress &to)
+{
+    const auto index = m_buffers->count++;
+    m_buffers->vectors[index] = {const_cast<std::uint8_t *>(bytes.data()), bytes.size()};
+    std::memcpy(&m_buffers->addresses[index].storage, &to.storage, to.size);
+    m_buffers->messages[index].msg_hdr.msg_namelen = to.size;
+}
+
+std::size_t SendBatch::flush(const FileDescriptor &socket)
+{
+    const std::size_t count = std::exchange(m_buffers->count, 0);
+    std::size_t sent = 0;
+    std::size_t refused = 0;
+    while (sent < count) {
+        const int done = ::sendmmsg(socket.value(), m_buffers->messages.data() + sent,
+                                    static_cast<unsigned>(count - sent), 0);
+        if (done > 0) {
+            sent += static_cast<std::size_t>(done);
+            continue;
+        }
+        if (done < 0 && errno == EINTR) {
+            continue;
+        }
+        // The first datagram was refused; the others may still go.
+        ++refused;
+        ++sent;
+    }
+    return refused;
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/test/sockets-test.cc
@@ -0,0 +1,93 @@
+#include "oriolelever/sockets.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <poll.h>
+
+using namespace oriolelever;
+
+namespace {
+
+Endpoint loopback(std::string_view text = "127.0.0.1:0")
+{
+    Endpoint endpoint;
+    parseEndpoint(text, endpoint);
+    return endpoint;
+}
+
+FileDescriptor openSocket(const Endpoint &local)
+{
+    return handleError([&] { return openDatagramSocket(local); },
+                       [](const Error &) { return FileDescriptor(); });
+}
+
+std::size_t receiveSoon(ReceiveBatch &batch, const FileDescriptor &socket)
+{
+    pollfd entry{.fd = socket.value(), .events = POLLIN, .revents = 0};
+    ::poll(&entry, 1, 5000);
+    return batch.receive(socket);
+}
+
+} // namespace
+
+TEST(SocketsTest, BatchTravelsWithItsSender)
+{
+    for (const auto *const address : {"127.0.0.1:0", "[::1]:0"}) {
+        const auto from = openSocket(loopback(address));
+        const auto to = openSocket(loopback(address));
+        ASSERT_TRUE(from && to);
+        const std::vector<std::uint8_t> first{1, 2, 3};
+        const std::vector<std::uint8_t> second{4};
+        SendBatch send(2);
+        send.add(first, toSocketAddress(localEndpoint(to)));
+        send.add(second, toSocketAddress(localEndpoint(to)));
+        EXPECT_TRUE(send.isFull());
+        EXPECT_EQ(send.flush(from), 0U);
+        ReceiveBatch receive(4, 100);
+        ASSERT_EQ(receiveSoon(receive, to), 2U);
+        EXPECT_EQ(receive.datagram(0).size(), 3U);
+        EXPECT_EQ(receive.datagram(1)[0], 4);
+        EXPECT_EQ(toEndpoint(receive.sender(1)), localEndpoint(from));
+        EXPECT_EQ(receive.receive(to), 0U);
+    }
+}
+
+TEST(SocketsTest, CutDatagramIsReported)
+{
+    const auto socket = openSocket(loopback());
+    const std::vector<std::uint8_t> bytes(200);
+    SendBatch send(1);
+    send.add(bytes, toSocketAddress(localEndpoint(socket)));
+    EXPECT_EQ(send.flush(socket), 0U);
+    ReceiveBatch receive(1, 100);
+    ASSERT_EQ(receiveSoon(receive, socket), 1U);
+    EXPECT_TRUE(receive.isCut(0));
+}
+
+TEST(SocketsTest, RefusedDatagramDoesNotKeepTheOthersBack)
+{
+    const auto socket = openSocket(loopback());
+    const std::vector<std::uint8_t> tooLong(70'000);
+    const std::vector<std::uint8_t> right(10);
+    SendBatch send(2);
+    send.add(tooLong, toSocketAddress(localEndpoint(socket)));
+    send.add(right, toSocketAddress(localEndpoint(socket)));
+    EXPECT_EQ(send.flush(socket), 1U);
+    ReceiveBatch receive(2, 100);
+    EXPECT_EQ(receiveSoon(receive, socket), 1U);
+}
+
+TEST(SocketsTest, PortInUseIsNamed)
+{
+    const auto socket = openSocket(loopback());
+    const auto taken = localEndpoint(socket);
+    const auto error = handleError(
+        [&]() -> Result<Error> {
+            BOOST_LEAF_CHECK(openDatagramSocket(taken));
+            return Error{Code::Ok, ""};
+        },
+        [](const Error &e) { return e; });
+    EXPECT_EQ(error.code, Code::AddressInUse);
+    EXPECT_NE(error.text.find(toString(taken)), std::string::npos);
+}
