--- a/include/oriolelever/kernel.h
+++ b/include/oriolelever/kernel.h
@@ -27,6 +27,11 @@
     /// Starts the service. The services added before it are already started.
     virtual Result<void> start(Kernel &kernel) = 0;
 
+    /// A graceful shutdown begins; called on every service before the first drain, in reverse order.
+    virtual void beginDrain()
+    {
+    }
+
     /// Takes no new work, finishes what is running, then calls `done` once on the control thread.
     virtual void drain(std::function<void()> done)
     {
@@ -77,8 +82,9 @@
         return m_control;
     }
 
-    /// Starts all services, runs until SIGTERM or SIGINT, drains in reverse order within `drainLimit`, stops.
-    /// Returns the exit status: 0 after a graceful stop, 2 if a service did not start.
+    /// Starts all services, runs until SIGTERM or SIGINT, announces the shutdown to all, drains one after
+    /// another in reverse order within `drainLimit`, stops. Returns the exit status: 0 after a graceful stop,
+    /// 2 if a service did not start.
     int run(std::chrono::milliseconds drainLimit);
 
     /// Begins a graceful shutdown, as SIGTERM does.
--- a/src/kernel.cc
+++ b/src/kernel.cc
@@ -112,6 +112,9 @@
             m_control.stop();
         }
     });
+    for (std::size_t index = m_started; index > 0; --index) {
+        m_services[index - 1].service->beginDrain();
+    }
     drainFrom(m_started);
 }
 
