--- /dev/null
+++ b/lab/commands.h
@@ -0,0 +1,11 @@
+/// The subcommands of the test tool; each lives in a source file of its own.
+#pragma once
+
+#include "oriolelever/cli.h"
+
+namespace oriolelever::lab {
+
+/// Figures of a deployment run from its reports.
+Command summaryCommand();
+
+} // namespace oriolelever::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -1,9 +1,11 @@
-#include <span>
+#include <array>
 
-#include "oriolelever/cli.h"
+#include "commands.h"
 
 int main(int argc, char **argv)
 {
-    const std::span<const oriolelever::Command> commands;
+    const auto commands = std::to_array<oriolelever::Command>({
+        oriolelever::lab::summaryCommand(),
+    });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
