--- a/include/oriolelever/gue.h
+++ b/include/oriolelever/gue.h
@@ -79,6 +79,13 @@
 /// Room to leave before a payload for `prependGue`.
 constexpr std::size_t maxGueHeaderSize = 4 + 4 + 4 * 8 + 8;
 
+/// True when the datagram claims to be a control message.
+inline bool isControl(std::span<const std::uint8_t> datagram)
+{
+    constexpr std::uint8_t controlBit = 0x20;
+    return !datagram.empty() && (datagram[0] & controlBit) != 0;
+}
+
 /// Decodes a datagram of another process of the system: private data, and a right tag if keys are set, are
 /// required.
 GueFault decodeGue(std::span<std::uint8_t> datagram, const TagKeys &keys, GuePacket &out);
--- a/include/oriolelever/sockets.h
+++ b/include/oriolelever/sockets.h
@@ -51,6 +51,8 @@
     socklen_t size = 0;
 };
 
+/// Writes the kernel's form of `endpoint`; returns its size.
+socklen_t writeSocketAddress(const Endpoint &endpoint, sockaddr_storage &out);
 SocketAddress toSocketAddress(const Endpoint &endpoint);
 Endpoint toEndpoint(const sockaddr_storage &storage);
 
@@ -110,7 +112,7 @@
 
     bool isFull() const;
     /// Adds a datagram; the batch must not be full.
-    void add(std::span<const std::uint8_t> bytes, const SocketAddress &to);
+    void add(std::span<const std::uint8_t> bytes, const Endpoint &to);
     /// Sends what was added. Returns how many datagrams the kernel refused.
     std::size_t flush(const FileDescriptor &socket);
 
--- /dev/null
+++ b/src/agent-path.cc
@@ -0,0 +1,64 @@
+#include "oriolelever/agent-path.h"
+
+#include "agent-worker.h"
+
+namespace oriolelever {
+
+AgentPath::AgentPath(AgentPathOptions options, std::unique_ptr<Delivery> delivery)
+    : m_options(std::move(options))
+    , m_delivery(std::move(delivery))
+{
+}
+
+AgentPath::~AgentPath()
+{
+    stop();
+}
+
+Result<void> AgentPath::start()
+{
+    BOOST_LEAF_AUTO(socket, openDatagramSocket(m_options.listen));
+    BOOST_LEAF_AUTO(wakeUp, openWakeDescriptor());
+    m_worker = std::make_unique<Worker>(m_options, std::move(socket), std::move(wakeUp), *m_delivery);
+    m_worker->run();
+    return {};
+}
+
+void AgentPath::stop()
+{
+    if (m_worker) {
+        m_worker->stop();
+    }
+}
+
+void AgentPath::setRoute(std::shared_ptr<const ServiceRoute> route)
+{
+    m_worker->setRoute(std::move(route));
+}
+
+void AgentPath::addSample(const AnswerSample &sample)
+{
+    m_worker->addSample(sample);
+}
+
+Endpoint AgentPath::local() const
+{
+    return m_worker ? m_worker->local() : m_options.listen;
+}
+
+TimePoint AgentPath::lastInput() const
+{
+    return m_worker->lastInput();
+}
+
+AgentPathFigures AgentPath::figures() const
+{
+    return m_worker->figures();
+}
+
+const PathCounters &AgentPath::counters() const
+{
+    return m_worker->counters();
+}
+
+} // namespace oriolelever
--- a/src/sockets.cc
+++ b/src/sockets.cc
@@ -59,22 +59,28 @@
     }
 }
 
-SocketAddress toSocketAddress(const Endpoint &endpoint)
+socklen_t writeSocketAddress(const Endpoint &endpoint, sockaddr_storage &out)
 {
-    SocketAddress address;
     if (endpoint.address.isV4()) {
-        auto &v4 = reinterpret_cast<sockaddr_in &>(address.storage);
+        auto &v4 = reinterpret_cast<sockaddr_in &>(out);
         v4.sin_family = AF_INET;
         v4.sin_port = htons(endpoint.port);
         std::memcpy(&v4.sin_addr, endpoint.address.bytes.data() + mappedOffset, sizeof(v4.sin_addr));
-        address.size = sizeof(v4);
-        return address;
+        return sizeof(v4);
     }
-    auto &v6 = reinterpret_cast<sockaddr_in6 &>(address.storage);
+    auto &v6 = reinterpret_cast<sockaddr_in6 &>(out);
     v6.sin6_family = AF_INET6;
     v6.sin6_port = htons(endpoint.port);
+    v6.sin6_flowinfo = 0;
+    v6.sin6_scope_id = 0;
     std::memcpy(&v6.sin6_addr, endpoint.address.bytes.data(), sizeof(v6.sin6_addr));
-    address.size = sizeof(v6);
+    return sizeof(v6);
+}
+
+SocketAddress toSocketAddress(const Endpoint &endpoint)
+{
+    SocketAddress address;
+    address.size = writeSocketAddress(endpoint, address.storage);
     return address;
 }
 
@@ -207,7 +213,7 @@
 {
     std::vector<mmsghdr> messages;
     std::vector<iovec> vectors;
-    std::vector<SocketAddress> addresses;
+    std::vector<sockaddr_storage> addresses;
     std::size_t count = 0;
 };
 
@@ -221,7 +227,7 @@
         auto &header = m_buffers->messages[i].msg_hdr;
         header.msg_iov = &m_buffers->vectors[i];
         header.msg_iovlen = 1;
-        header.msg_name = &m_buffers->addresses[i].storage;
+        header.msg_name = &m_buffers->addresses[i];
     }
 }
 
@@ -232,12 +238,11 @@
     return m_buffers->count == m_buffers->messages.size();
 }
 
-void SendBatch::add(std::span<const std::uint8_t> bytes, const SocketAddress &to)
+void SendBatch::add(std::span<const std::uint8_t> bytes, const Endpoint &to)
 {
     const auto index = m_buffers->count++;
     m_buffers->vectors[index] = {const_cast<std::uint8_t *>(bytes.data()), bytes.size()};
-    std::memcpy(&m_buffers->addresses[index].storage, &to.storage, to.size);
-    m_buffers->messages[index].msg_hdr.msg_namelen = to.size;
+    m_buffers->messages[index].msg_hdr.msg_namelen = writeSocketAddress(to, m_buffers->addresses[index]);
 }
 
 std::size_t SendBatch::flush(const FileDescriptor &socket)
--- a/test/sockets-test.cc
+++ b/test/sockets-test.cc
@@ -40,8 +40,8 @@
         const std::vector<std::uint8_t> first{1, 2, 3};
         const std::vector<std::uint8_t> second{4};
         SendBatch send(2);
-        send.add(first, toSocketAddress(localEndpoint(to)));
-        send.add(second, toSocketAddress(localEndpoint(to)));
+        send.add(first, localEndpoint(to));
+        send.add(second, localEndpoint(to));
         EXPECT_TRUE(send.isFull());
         EXPECT_EQ(send.flush(from), 0U);
         ReceiveBatch receive(4, 100);
@@ -58,7 +58,7 @@
     const auto socket = openSocket(loopback());
     const std::vector<std::uint8_t> bytes(200);
     SendBatch send(1);
-    send.add(bytes, toSocketAddress(localEndpoint(socket)));
+    send.add(bytes, localEndpoint(socket));
     EXPECT_EQ(send.flush(socket), 0U);
     ReceiveBatch receive(1, 100);
     ASSERT_EQ(receiveSoon(receive, socket), 1U);
@@ -71,8 +71,8 @@
     const std::vector<std::uint8_t> tooLong(70'000);
     const std::vector<std::uint8_t> right(10);
     SendBatch send(2);
-    send.add(tooLong, toSocketAddress(localEndpoint(socket)));
-    send.add(right, toSocketAddress(localEndpoint(socket)));
+    send.add(tooLong, localEndpoint(socket));
+    send.add(right, localEndpoint(socket));
     EXPECT_EQ(send.flush(socket), 1U);
     ReceiveBatch receive(2, 100);
     EXPECT_EQ(receiveSoon(receive, socket), 1U);
