Routes of services, the directory of an agent and the choice of servers

Cause: packets of one flow may reach any balancer, and owners change while flows live. Change: immutable routes built record by record; an agent's directory with pairwise grants of buckets, so that at most one of two agents places new flows of a bucket; placement by open flows, limits and warmth.

--- /dev/null
+++ b/include/oriolelever/directory.h
@@ -0,0 +1,331 @@
+/// The directory of an agent: where each flow of its buckets is, and the handover of buckets between agents.
+///
+/// An agent owns a bucket while its roster says so. It places new flows of the bucket only after every
+/// reachable peer has granted it the bucket: the peer has stopped placing flows of it and has told the flows
+/// that it knows. A grant lasts until it is granted back, so at most one of two agents holds it, whatever
+/// their rosters say. All functions are pure: time is an argument, and I/O is left to the caller by
+/// `Effects`.
+#pragma once
+
+#include <deque>
+#include <random>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "oriolelever/capacity.h"
+#include "oriolelever/placement.h"
+
+namespace oriolelever {
+
+/// Why a packet was sent to an agent.
+enum class PacketPurpose : std::uint8_t {
+    Route = 0, ///< The receiver owns the bucket by the sender's roster.
+    Place = 1, ///< The owner has placed this new flow at the receiver.
+    Forward = 2, ///< The directory says that the receiver's server has the flow.
+    Return = 3, ///< Back to the owner: the receiver does not have the flow or cannot take it.
+};
+
+/// What the agent needs to know of a packet.
+struct PacketInfo
+{
+    FlowKey flow;
+    ServiceId service; ///< From the encapsulation.
+    Incarnation targetIncarnation = 0; ///< From the encapsulation: the agent that it is meant for.
+    std::uint64_t rosterVersion = 0; ///< From the encapsulation: what the sender decided by.
+    PacketPurpose purpose = PacketPurpose::Route;
+    std::uint8_t hops = 0; ///< Agents that have passed the packet on.
+    ServerId fromServer; ///< Agent that sent it; 0 for a balancer.
+    bool opens = false; ///< TCP SYN without ACK, or any UDP packet.
+    bool closes = false; ///< TCP FIN or RST.
+};
+
+enum class PacketAction : std::uint8_t {
+    Deliver, ///< To the local server.
+    Forward, ///< To another agent.
+    Hold, ///< Keep the packet under `Verdict::held` until it is released.
+    Reset, ///< Tell the caller that the flow does not exist.
+    Drop,
+};
+
+enum class DropReason : std::uint8_t {
+    None,
+    WrongService, ///< The agent serves another service; the sender is told.
+    ZoneOut, ///< The agent's zone is out.
+    TooManyHops,
+    HoldFull, ///< Too many packets are held.
+    HoldExpired,
+    AwaitingHolder, ///< The flow may be at a server that was lately found dead; the caller sends again.
+};
+
+constexpr std::size_t dropReasonCount = 7;
+std::string_view toString(DropReason reason);
+
+/// What to do with one packet.
+struct Verdict
+{
+    PacketAction action = PacketAction::Drop;
+    DropReason reason = DropReason::None;
+    ServerId to; ///< Forward: the agent.
+    Endpoint toEndpoint;
+    Incarnation toIncarnation = 0;
+    PacketPurpose purpose = PacketPurpose::Route;
+    std::uint8_t hops = 0;
+    std::uint64_t held = 0; ///< Hold: number of the held packet.
+};
+
+/// One flow as one agent tells another.
+struct FlowNote
+{
+    Endpoint caller;
+    ServerId holder;
+    bool certain = false; ///< Told by the holder itself.
+
+    bool operator==(const FlowNote &) const = default;
+};
+
+/// "Grant me these buckets, and tell me their flows."
+struct AskMessage
+{
+    std::uint64_t sequence = 0; ///< Grows with each attempt.
+    std::uint32_t bucketCount = 0;
+    bool recovers = false; ///< The asker lost its state: also tell it every flow that its server has.
+    std::vector<BucketIndex> buckets;
+
+    bool operator==(const AskMessage &) const = default;
+};
+
+/// One part of the answer for one bucket. All parts of one sequence make the bucket granted.
+struct BucketAnswer
+{
+    BucketIndex bucket = 0;
+    bool granted = false;
+    std::uint16_t part = 0;
+    std::uint16_t parts = 1;
+    std::vector<FlowNote> flows;
+
+    bool operator==(const BucketAnswer &) const = default;
+};
+
+struct AnswerMessage
+{
+    std::uint64_t sequence = 0; ///< Of the question.
+    std::uint32_t bucketCount = 0;
+    std::vector<BucketAnswer> buckets;
+
+    bool operator==(const AnswerMessage &) const = default;
+};
+
+/// What a server bears, for the choice of a server.
+struct LoadMessage
+{
+    std::uint32_t openFlows = 0;
+    std::uint32_t limit = 0; ///< Flows that it bears now.
+    std::uint16_t sharePermille = 0; ///< Warmth.
+    bool lostBuckets = false; ///< The sender's roster has changed: denied questions are worth repeating.
+
+    bool operator==(const LoadMessage &) const = default;
+};
+
+/// Flows that the sender's server no longer has, or never had.
+struct GoneMessage
+{
+    std::vector<Endpoint> callers;
+
+    bool operator==(const GoneMessage &) const = default;
+};
+
+enum class DirectoryMessageKind : std::uint8_t { Ask = 1, Answer = 2, Load = 3, Gone = 4 };
+
+/// One datagram between agents of a service; `kind` says which part is set. May be lost, doubled and late.
+struct DirectoryMessage
+{
+    ServiceId service;
+    Incarnation fromIncarnation = 0;
+    Incarnation toIncarnation = 0; ///< 0 when the sender does not know it.
+    std::uint64_t rosterVersion = 0;
+    std::uint32_t generation = 0; ///< How often the sender has counted the receiver as unreachable.
+    DirectoryMessageKind kind = DirectoryMessageKind::Load;
+    AskMessage ask;
+    AnswerMessage answer;
+    LoadMessage load;
+    GoneMessage gone;
+
+    bool operator==(const DirectoryMessage &) const = default;
+};
+
+/// What the caller of a decision function has to do.
+struct Effects
+{
+    struct Released
+    {
+        std::uint64_t held = 0;
+        Verdict verdict;
+    };
+
+    struct Outgoing
+    {
+        ServerId to;
+        Endpoint endpoint;
+        DirectoryMessage message;
+    };
+
+    Verdict verdict; ///< Of `onPacket`.
+    bool tellSender
+        = false; ///< The packet's sender is stale: tell it this agent's service and roster version.
+    std::vector<Released> released; ///< Held packets whose time has come.
+    std::vector<Outgoing> messages;
+
+    /// Empties it and keeps the memory.
+    void clear();
+};
+
+struct DirectoryOptions
+{
+    ServerId self;
+    ServiceId service;
+    Incarnation incarnation = 0;
+    std::uint64_t seed = 0; ///< Of the choices of servers.
+    Duration askRetry
+        = std::chrono::milliseconds(20); ///< First wait for an answer; doubles with each attempt.
+    Duration askRetryMax = std::chrono::milliseconds(640);
+    Duration holdTime = std::chrono::milliseconds(500);
+    std::size_t holdLimit = 1024; ///< Held packets.
+    Duration loadInterval = std::chrono::milliseconds(200); ///< Between load messages to a peer.
+    std::size_t loadFanout = 16; ///< Peers that get a load message in one interval.
+    Duration idleTime = std::chrono::hours(2); ///< A flow without packets is freed after this.
+    Duration udpIdleTime = std::chrono::minutes(3); ///< The same for UDP.
+    Duration closeTime = std::chrono::seconds(60); ///< A flow that began to close is freed after this.
+    Duration leaseTime
+        = std::chrono::seconds(2); ///< A longer pause makes the agent ask for its buckets again.
+    Duration deadGrace = std::chrono::seconds(15); ///< Unknown flows of a lately dead owner are not reset.
+    bool warm = false; ///< The server is warm at start.
+};
+
+struct EndpointHash
+{
+    std::size_t operator()(const Endpoint &endpoint) const noexcept
+    {
+        return static_cast<std::size_t>(hashFlow({.caller = endpoint}));
+    }
+};
+
+/// One flow in the directory.
+struct FlowEntry
+{
+    ServerId holder;
+    TimePoint lastSeen;
+    BucketIndex bucket = 0;
+    bool certain = false; ///< Known from the holder or by own placement, not by hearsay.
+    bool closing = false;
+};
+
+/// A question about one bucket that is not yet answered.
+struct OpenAsk
+{
+    std::uint64_t sequence = 0; ///< Of the message that asked; 0 before the first.
+    std::uint64_t partsSeen = 0; ///< Parts of the answer, as bits.
+    bool denied = false; ///< The peer owns the bucket by its own roster.
+};
+
+/// What an agent keeps of another agent of its service.
+struct PeerState
+{
+    Incarnation incarnation = 0;
+    bool reachable = false;
+    std::vector<bool> granted; ///< By bucket: the peer has granted it and has not got it back.
+    absl::flat_hash_map<BucketIndex, OpenAsk> asking;
+    std::uint64_t askSequence = 0; ///< Of the last question to the peer.
+    std::uint64_t heardSequence = 0; ///< Of the last question from the peer.
+    TimePoint askedAt;
+    Duration askWait{0}; ///< Until the next attempt; 0 asks at once.
+    std::uint32_t generation = 0; ///< How often this agent has counted the peer as unreachable.
+    std::uint32_t heardGeneration = 0; ///< The same, as the peer says of this agent.
+    std::uint32_t openFlows = 0;
+    std::uint32_t limit = 0;
+    double share = 0;
+    double placedSince = 0; ///< Flows placed there since its last load message.
+    bool loadKnown = false;
+    bool died = false; ///< The roster last lost it as `Down`.
+    TimePoint lostAt; ///< When the roster last lost it.
+};
+
+struct HeldPacket
+{
+    std::uint64_t number = 0;
+    PacketInfo packet;
+    TimePoint deadline;
+};
+
+struct DirectoryCounters
+{
+    std::uint64_t delivered = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t held = 0;
+    std::uint64_t resets = 0;
+    std::uint64_t placedHere = 0;
+    std::uint64_t placedAtPeer = 0;
+    std::uint64_t refusedNew = 0; ///< New flows that no server could take.
+    std::array<std::uint64_t, dropReasonCount> drops{};
+};
+
+/// State of one agent. Use the functions below to change it.
+struct Directory
+{
+    DirectoryOptions options;
+    std::shared_ptr<const ServiceRoute> route;
+    absl::flat_hash_map<Endpoint, FlowEntry, EndpointHash> flows; ///< By caller; the service is the agent's.
+    absl::flat_hash_map<ServerId, PeerState, std::hash<ServerId>> peers;
+    std::deque<HeldPacket> held;
+    std::uint64_t nextHeld = 1;
+    std::vector<std::uint32_t> missing; ///< By bucket: reachable peers that have not granted it.
+    std::vector<TimePoint> ownerDiedAt; ///< By bucket: when its former owner was found dead.
+    std::vector<ServerId> formerOwner; ///< By bucket: the owner before the last change.
+    std::uint32_t localFlows = 0; ///< Flows of the local server.
+    Warmth warmth;
+    Pace pace;
+    std::mt19937_64 random;
+    TimePoint lastTick;
+    TimePoint lastLoad;
+    TimePoint lastSweep;
+    std::vector<Endpoint> gone; ///< Flows of peers' buckets that the local server no longer has.
+    std::size_t loadCursor = 0;
+    bool started = false;
+    bool recovering = true; ///< The server may have flows that this process does not know.
+    DirectoryCounters counters;
+    std::vector<Candidate> candidates; ///< Scratch.
+    std::vector<ServerId> candidateIds; ///< Scratch.
+};
+
+/// An empty directory. It places nothing before its first roster, and resets nothing that its server may
+/// have.
+Directory makeDirectory(const DirectoryOptions &options, TimePoint now);
+
+/// Decides on one packet; `effects.verdict` says what to do with it. Does not allocate in the steady state.
+void onPacket(Directory &directory, const PacketInfo &packet, TimePoint now, Effects &effects);
+/// Takes a datagram of the agent beside server `from`.
+void onMessage(Directory &directory, ServerId from, const DirectoryMessage &message, TimePoint now,
+               Effects &effects);
+/// Takes a new roster; a route of an older version than the current one is taken too.
+void onRoster(Directory &directory, std::shared_ptr<const ServiceRoute> route, TimePoint now,
+              Effects &effects);
+/// Retries, releases and frees; call it every 10 to 50 ms.
+void onTick(Directory &directory, TimePoint now, Effects &effects);
+/// Judges an answer of the local server.
+void onAnswer(Directory &directory, const AnswerSample &sample, TimePoint now);
+/// The local server no longer has the flow.
+void onLocalClose(Directory &directory, const FlowKey &flow, TimePoint now);
+
+/// The agent may place new flows of the bucket: it owns it and every reachable peer has granted it.
+bool mayPlace(const Directory &directory, BucketIndex bucket);
+/// Flows that the local server bears now.
+std::uint32_t localLimit(const Directory &directory);
+/// Bytes of the directory, for capacity planning.
+std::size_t stateBytes(const Directory &directory);
+
+/// Parts of the answer for one bucket.
+constexpr std::size_t maxAnswerParts = 64;
+/// Largest datagram, with room for the encapsulation.
+constexpr std::size_t maxDirectoryMessage = 1200;
+
+} // namespace oriolelever
--- /dev/null
+++ b/src/directory-tick.cc
@@ -0,0 +1,107 @@
+#include <algorithm>
+#include <map>
+
+#include "directory-detail.h"
+
+namespace oriolelever {
+
+namespace detail {
+
+namespace {
+
+constexpr Duration sweepInterval = std::chrono::seconds(1);
+constexpr Duration hearsayTime
+    = std::chrono::seconds(60); ///< Life of entries of buckets that were granted away.
+constexpr std::size_t goneLimit = 40; ///< Flows in one message.
+
+void sendLoads(Directory &directory, TimePoint now, Effects &effects)
+{
+    if (!directory.route || now - directory.lastLoad < directory.options.loadInterval) {
+        return;
+    }
+    directory.lastLoad = now;
+    const auto &servers = directory.route->servers;
+    const auto count = std::min(directory.options.loadFanout, servers.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto &server = servers[directory.loadCursor++ % servers.size()];
+        if (server.id != directory.options.self) {
+            sendLoad(directory, server.id, false, effects);
+        }
+    }
+}
+
+void sendGone(Directory &directory, Effects &effects)
+{
+    std::map<ServerId, std::vector<Endpoint>> byOwner;
+    for (const auto &caller : directory.gone) {
+        const auto *const owner = ownerOf(*directory.route, flowBucket(directory, caller));
+        if (owner != nullptr) {
+            byOwner[owner->id].push_back(caller);
+        }
+    }
+    directory.gone.clear();
+    for (const auto &[id, callers] : byOwner) {
+        for (std::size_t begin = 0; begin < callers.size(); begin += goneLimit) {
+            const auto end = std::min(callers.size(), begin + goneLimit);
+            DirectoryMessage message{.kind = DirectoryMessageKind::Gone};
+            message.gone.callers.assign(callers.begin() + static_cast<std::ptrdiff_t>(begin),
+                                        callers.begin() + static_cast<std::ptrdiff_t>(end));
+            sendMessage(directory, id, std::move(message), effects);
+        }
+    }
+}
+
+Duration lifeOf(const Directory &directory, const FlowEntry &entry)
+{
+    const auto &options = directory.options;
+    if (entry.closing) {
+        return options.closeTime;
+    }
+    if (entry.holder != options.self && !entry.certain && !ownsBucket(directory, entry.bucket)) {
+        return hearsayTime;
+    }
+    return directory.route->protocol == Protocol::Udp ? options.udpIdleTime : options.idleTime;
+}
+
+void freeSilent(Directory &directory, TimePoint now)
+{
+    if (!directory.route || now - directory.lastSweep < sweepInterval) {
+        return;
+    }
+    directory.lastSweep = now;
+    for (auto item = directory.flows.begin(); item != directory.flows.end();) {
+        const auto current = item++;
+        if (now - current->second.lastSeen < lifeOf(directory, current->second)) {
+            continue;
+        }
+        uncountFlow(directory, current->second);
+        directory.flows.erase(current);
+    }
+}
+
+} // namespace
+
+} // namespace detail
+
+void onTick(Directory &directory, TimePoint now, Effects &effects)
+{
+    effects.clear();
+    if (now - directory.lastTick > directory.options.leaseTime) {
+        detail::dropGrants(directory);
+    }
+    directory.lastTick = now;
+    if (!directory.route) {
+        detail::releaseHeld(directory, now, effects);
+        return;
+    }
+    growWarmth(directory.warmth, directory.route->rampTime, now);
+    for (auto &[id, peer] : directory.peers) {
+        detail::sendAsk(directory, id, peer, now, effects);
+    }
+    detail::sendLoads(directory, now, effects);
+    detail::sendGone(directory, effects);
+    detail::freeSilent(directory, now);
+    detail::releaseHeld(directory, now, effects);
+}
+
+} // namespace oriolelever
