Gate of a backend server as a pure state machine, claims on idempotency keys

The agent needs a gate whose promises hold by construction: events go in, effects come out, time is an argument. An attempt counts as sent before its first byte may leave; from then on the outcome is never refused-not-run but by the server's own words.

--- /dev/null
+++ b/src/request.cc
@@ -0,0 +1,510 @@
+#include "oriolelever/request.h"
+
+#include <algorithm>
+
+namespace oriolelever {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds drainRetryAfter{1000};
+
+RequestState *find(Gate &gate, RequestId request)
+{
+    const auto entry = gate.requests.find(request);
+    return entry == gate.requests.end() ? nullptr : &entry->second;
+}
+
+Attempt *find(RequestState &state, AttemptId attempt)
+{
+    for (auto &known : state.attempts) {
+        if (known.id == attempt) {
+            return &known;
+        }
+    }
+    return nullptr;
+}
+
+bool removeAttempt(RequestState &state, AttemptId attempt)
+{
+    return std::erase_if(state.attempts, [&](const Attempt &known) { return known.id == attempt; }) > 0;
+}
+
+Duration estimate(const Gate &gate)
+{
+    const auto usual = usualTime(gate.limiter);
+    return usual.count() > 0 ? usual : Duration(gate.options.firstEstimate);
+}
+
+milliseconds ceilMs(Duration duration)
+{
+    return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(duration));
+}
+
+void count(GateCounters &counters, Code outcome)
+{
+    switch (outcome) {
+    case Code::Answered:
+        ++counters.answered;
+        return;
+    case Code::RefusedNotRun:
+        ++counters.refused;
+        return;
+    case Code::OutcomeUnknown:
+        ++counters.unknown;
+        return;
+    default:
+        ++counters.cancelled;
+    }
+}
+
+ClaimEnd claimEndOf(Code outcome, bool mayHaveRun)
+{
+    if (outcome == Code::Answered) {
+        return ClaimEnd::Answered;
+    }
+    return mayHaveRun ? ClaimEnd::Unknown : ClaimEnd::Released;
+}
+
+// Cancels what still runs, settles the claim and ends the request.
+void finish(Gate &gate, RequestState &state, Code outcome, Reason reason, milliseconds retryAfter,
+            Effects &effects)
+{
+    const auto id = state.facts.id;
+    bool mayHaveRun = state.mayHaveRun || state.phase == Phase::HandedOver;
+    for (const auto &attempt : state.attempts) {
+        mayHaveRun = mayHaveRun || attempt.byteLeft;
+        effects.push_back(CancelAttempt{id, attempt.id});
+        noteCancelled(gate.limiter);
+    }
+    if (state.phase == Phase::Waiting) {
+        remove(gate.queue, id);
+    }
+    if (outcome == Code::RefusedNotRun && mayHaveRun) {
+        outcome = Code::OutcomeUnknown;
+    }
+    if (state.claimed) {
+        effects.push_back(SettleClaim{id, claimEndOf(outcome, mayHaveRun)});
+    }
+    const bool relayed = state.relayed != 0;
+    count(gate.counters, outcome);
+    gate.requests.erase(id);
+    effects.push_back(Finish{id, outcome, reason, retryAfter, relayed});
+}
+
+void refuse(Gate &gate, RequestState &state, Reason reason, Duration retryAfter, Effects &effects)
+{
+    finish(gate, state, Code::RefusedNotRun, reason, ceilMs(retryAfter), effects);
+}
+
+bool canHandOver(const Gate &gate, const RequestState &state, TimePoint now)
+{
+    if (state.facts.handedOver || state.handoverTried || !gate.peersAvailable) {
+        return false;
+    }
+    const bool sent = state.mayHaveRun || !state.attempts.empty();
+    if (sent && !state.facts.idempotent) {
+        return false;
+    }
+    return now + gate.options.minHandover < state.facts.deadline;
+}
+
+void handOverOrRefuse(Gate &gate, RequestState &state, Reason reason, Duration retryAfter, TimePoint now,
+                      Effects &effects)
+{
+    if (!canHandOver(gate, state, now)) {
+        refuse(gate, state, reason, retryAfter, effects);
+        return;
+    }
+    state.phase = Phase::HandedOver;
+    state.handoverTried = true;
+    ++gate.counters.handovers;
+    effects.push_back(HandOver{state.facts.id});
+}
+
+void startAttempt(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+{
+    if (state.started == 0) {
+        earn(gate.budget);
+    }
+    state.phase = Phase::Running;
+    ++state.started;
+    const auto attempt = ++gate.lastAttempt;
+    state.attempts.push_back({attempt, now, false});
+    noteStart(gate.limiter);
+    effects.push_back(SendAttempt{state.facts.id, attempt});
+}
+
+// Gives up waiting requests that cannot be answered in time, as early as that is known.
+void giveUpLate(Gate &gate, TimePoint now, Effects &effects)
+{
+    for (const auto &waiting : removeLate(gate.queue, now + estimate(gate))) {
+        auto *const state = find(gate, waiting.request);
+        if (state != nullptr) {
+            handOverOrRefuse(gate, *state, Reason::DeadlineTooClose, expectedWait(gate, waiting.urgency, now),
+                             now, effects);
+        }
+    }
+}
+
+void startWaiting(Gate &gate, TimePoint now, Effects &effects)
+{
+    giveUpLate(gate, now, effects);
+    while (hasSlot(gate.limiter, now)) {
+        const auto next = pop(gate.queue);
+        if (!next) {
+            return;
+        }
+        auto *const state = find(gate, next->request);
+        if (state != nullptr) {
+            startAttempt(gate, *state, now, effects);
+        }
+    }
+}
+
+Reason reasonToTurnAway(const Gate &gate, const RequestState &state, TimePoint now)
+{
+    if (gate.draining) {
+        return Reason::Draining;
+    }
+    const auto wait = expectedWait(gate, state.facts.urgency, now);
+    const bool late = now + wait + estimate(gate) > state.facts.deadline;
+    if (!late) {
+        return Reason::None;
+    }
+    return now < gate.limiter.pausedUntil ? Reason::ServerUnavailable : Reason::DeadlineTooClose;
+}
+
+Duration retryAfterOf(const Gate &gate, const RequestState &state, TimePoint now)
+{
+    return gate.draining ? Duration(drainRetryAfter) : expectedWait(gate, state.facts.urgency, now);
+}
+
+// Queues, hands over or refuses a request that may run.
+void place(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+{
+    const auto reason = reasonToTurnAway(gate, state, now);
+    if (reason != Reason::None) {
+        handOverOrRefuse(gate, state, reason, retryAfterOf(gate, state, now), now, effects);
+        return;
+    }
+    const auto &facts = state.facts;
+    const auto wait = expectedWait(gate, facts.urgency, now);
+    std::optional<Waiting> evicted;
+    state.phase = Phase::Waiting;
+    const auto result = push(gate.queue, {facts.id, facts.caller, facts.urgency, facts.deadline}, evicted);
+    if (result == PushResult::CallerFull) {
+        refuse(gate, state, Reason::CallerLimit, wait, effects);
+        return;
+    }
+    if (result == PushResult::Full) {
+        handOverOrRefuse(gate, state, Reason::QueueFull, wait, now, effects);
+        return;
+    }
+    if (evicted) {
+        handOverOrRefuse(gate, gate.requests.at(evicted->request), Reason::QueueFull, wait, now, effects);
+    }
+    startWaiting(gate, now, effects);
+}
+
+bool mayRetry(Gate &gate, const RequestState &state, TimePoint now)
+{
+    if (!gate.options.retries || state.relayed != 0 || state.started >= gate.options.maxAttempts) {
+        return false;
+    }
+    return now + estimate(gate) < state.facts.deadline && spend(gate.budget);
+}
+
+void retry(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+{
+    ++gate.counters.retries;
+    place(gate, state, now, effects);
+}
+
+void failUnsent(Gate &gate, RequestState &state, AttemptFailure failure, TimePoint now, Effects &effects)
+{
+    const auto reason = failure == AttemptFailure::Shed ? Reason::ServerShed : Reason::ServerUnavailable;
+    // A request that reached the server stays with this one answer unless it is idempotent.
+    const bool repeatable = state.facts.idempotent || failure == AttemptFailure::NotSent;
+    const auto retryAfter
+        = std::max<Duration>(gate.limiter.pausedUntil - now, expectedWait(gate, state.facts.urgency, now));
+    if (!repeatable) {
+        refuse(gate, state, reason, retryAfter, effects);
+        return;
+    }
+    if (mayRetry(gate, state, now)) {
+        retry(gate, state, now, effects);
+        return;
+    }
+    handOverOrRefuse(gate, state, reason, retryAfter, now, effects);
+}
+
+void failBroken(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+{
+    ++gate.counters.brokenAnswers;
+    if (state.facts.idempotent && mayRetry(gate, state, now)) {
+        retry(gate, state, now, effects);
+        return;
+    }
+    finish(gate, state, Code::OutcomeUnknown, Reason::AnswerBroken, milliseconds(0), effects);
+}
+
+void hedge(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+{
+    const bool single = state.phase == Phase::Running && state.attempts.size() == 1;
+    if (!gate.options.retries || !state.facts.idempotent || !single || state.relayed != 0) {
+        return;
+    }
+    const auto factor = gate.options.hedgeFactor * static_cast<double>(estimate(gate).count());
+    const auto delay
+        = std::max<Duration>(gate.options.minHedgeDelay, Duration(static_cast<Duration::rep>(factor)));
+    const bool idle = size(gate.queue) == 0 && hasSlot(gate.limiter, now);
+    if (!idle || now - state.attempts.front().started < delay || !mayRetry(gate, state, now)) {
+        return;
+    }
+    ++gate.counters.hedges;
+    startAttempt(gate, state, now, effects);
+}
+
+void passDeadline(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+{
+    const bool sent = std::any_of(state.attempts.begin(), state.attempts.end(),
+                                  [](const Attempt &attempt) { return attempt.byteLeft; });
+    if (sent) {
+        // A server that is silent past a deadline is taken for cold.
+        noteCold(gate.limiter);
+    }
+    finish(gate, state, Code::RefusedNotRun, Reason::DeadlinePassed,
+           ceilMs(expectedWait(gate, state.facts.urgency, now)), effects);
+}
+
+} // namespace
+
+std::string_view toString(Reason reason)
+{
+    switch (reason) {
+    case Reason::None:
+        return "none";
+    case Reason::QueueFull:
+        return "queue-full";
+    case Reason::CallerLimit:
+        return "caller-limit";
+    case Reason::DeadlineTooClose:
+        return "deadline-too-close";
+    case Reason::Draining:
+        return "draining";
+    case Reason::ServerUnavailable:
+        return "server-unavailable";
+    case Reason::ServerShed:
+        return "server-shed";
+    case Reason::ClaimUnreachable:
+        return "claim-unreachable";
+    case Reason::NotProvenFresh:
+        return "not-proven-fresh";
+    case Reason::EarlierUnknown:
+        return "earlier-unknown";
+    case Reason::AnswerBroken:
+        return "answer-broken";
+    case Reason::DeadlinePassed:
+        return "deadline-passed";
+    case Reason::CallerGone:
+        return "caller-gone";
+    case Reason::Invalid:
+        return "invalid";
+    }
+    return "unknown";
+}
+
+Gate::Gate(const GateOptions &gateOptions)
+    : options(gateOptions)
+    , limiter{.options = gateOptions.limiter}
+    , queue{.options = gateOptions.queue}
+    , budget(gateOptions.budget)
+{
+}
+
+Duration expectedWait(const Gate &gate, Urgency urgency, TimePoint now)
+{
+    const auto pause = std::max(gate.limiter.pausedUntil - now, Duration::zero());
+    const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(gate.limiter.limit));
+    const auto before = ahead(gate.queue, urgency) + gate.limiter.running;
+    if (before < limit) {
+        return pause;
+    }
+    return pause
+        + estimate(gate) * static_cast<Duration::rep>(before - limit + 1) / static_cast<Duration::rep>(limit);
+}
+
+void arrive(Gate &gate, const RequestFacts &facts, TimePoint now, Effects &effects)
+{
+    ++gate.counters.arrived;
+    auto &state = gate.requests[facts.id];
+    state.facts = facts;
+    if (facts.keyed && !facts.idempotent && !facts.handedOver) {
+        state.phase = Phase::Claiming;
+        effects.push_back(StartClaim{facts.id});
+        return;
+    }
+    place(gate, state, now, effects);
+}
+
+void claimEnded(Gate &gate, RequestId request, ClaimVerdict verdict, milliseconds retryAfter, TimePoint now,
+                Effects &effects)
+{
+    auto *const state = find(gate, request);
+    if (state == nullptr) {
+        if (verdict == ClaimVerdict::Fresh) {
+            effects.push_back(SettleClaim{request, ClaimEnd::Released});
+        }
+        return;
+    }
+    switch (verdict) {
+    case ClaimVerdict::Fresh:
+        state->claimed = true;
+        place(gate, *state, now, effects);
+        return;
+    case ClaimVerdict::Answered:
+        effects.push_back(RelayAnswer{request, 0});
+        finish(gate, *state, Code::Answered, Reason::None, milliseconds(0), effects);
+        return;
+    case ClaimVerdict::EarlierUnknown:
+        finish(gate, *state, Code::OutcomeUnknown, Reason::EarlierUnknown, milliseconds(0), effects);
+        return;
+    case ClaimVerdict::Unreachable:
+        refuse(gate, *state, Reason::ClaimUnreachable, retryAfter, effects);
+        return;
+    case ClaimVerdict::NotProven:
+        refuse(gate, *state, Reason::NotProvenFresh, retryAfter, effects);
+        return;
+    }
+}
+
+void byteLeft(Gate &gate, RequestId request, AttemptId attempt)
+{
+    auto *const state = find(gate, request);
+    auto *const known = state == nullptr ? nullptr : find(*state, attempt);
+    if (known != nullptr) {
+        known->byteLeft = true;
+    }
+}
+
+void answerBegan(Gate &gate, RequestId request, AttemptId attempt, Effects &effects)
+{
+    auto *const state = find(gate, request);
+    if (state == nullptr || find(*state, attempt) == nullptr || state->relayed != 0) {
+        return;
+    }
+    state->relayed = attempt;
+    for (const auto &other : state->attempts) {
+        if (other.id == attempt) {
+            continue;
+        }
+        effects.push_back(CancelAttempt{request, other.id});
+        noteCancelled(gate.limiter);
+        state->mayHaveRun = state->mayHaveRun || other.byteLeft;
+    }
+    std::erase_if(state->attempts, [&](const Attempt &other) { return other.id != attempt; });
+    effects.push_back(RelayAnswer{request, attempt});
+}
+
+void answerEnded(Gate &gate, RequestId request, AttemptId attempt, TimePoint now, Effects &effects)
+{
+    auto *const state = find(gate, request);
+    const auto *const known = state == nullptr ? nullptr : find(*state, attempt);
+    if (known == nullptr) {
+        ++gate.counters.lateAnswers;
+        return;
+    }
+    const auto elapsed = now - known->started;
+    if (state->relayed == 0) {
+        answerBegan(gate, request, attempt, effects);
+    }
+    noteAnswer(gate.limiter, elapsed);
+    removeAttempt(*state, attempt);
+    finish(gate, *state, Code::Answered, Reason::None, milliseconds(0), effects);
+    startWaiting(gate, now, effects);
+}
+
+void attemptFailed(Gate &gate, RequestId request, AttemptId attempt, AttemptFailure failure, TimePoint now,
+                   Effects &effects)
+{
+    auto *const state = find(gate, request);
+    if (state == nullptr || !removeAttempt(*state, attempt)) {
+        return;
+    }
+    noteFailure(gate.limiter, now);
+    state->mayHaveRun = state->mayHaveRun || failure == AttemptFailure::Broken;
+    if (!state->attempts.empty()) {
+        return;
+    }
+    if (failure == AttemptFailure::Broken) {
+        failBroken(gate, *state, now, effects);
+    } else {
+        failUnsent(gate, *state, failure, now, effects);
+    }
+    startWaiting(gate, now, effects);
+}
+
+void handoverEnded(Gate &gate, RequestId request, HandoverEnd end, milliseconds retryAfter, TimePoint now,
+                   Effects &effects)
+{
+    auto *const state = find(gate, request);
+    if (state == nullptr || state->phase != Phase::HandedOver) {
+        return;
+    }
+    state->phase = Phase::Running;
+    switch (end) {
+    case HandoverEnd::Answered:
+        effects.push_back(RelayAnswer{request, 0});
+        finish(gate, *state, Code::Answered, Reason::None, milliseconds(0), effects);
+        return;
+    case HandoverEnd::RefusedNotRun:
+    case HandoverEnd::NotSent:
+        place(gate, *state, now, effects);
+        return;
+    case HandoverEnd::Unknown:
+        state->mayHaveRun = true;
+        break;
+    }
+    if (state->facts.idempotent && mayRetry(gate, *state, now)) {
+        retry(gate, *state, now, effects);
+        return;
+    }
+    finish(gate, *state, Code::OutcomeUnknown, Reason::AnswerBroken, retryAfter, effects);
+}
+
+void callerGone(Gate &gate, RequestId request, TimePoint now, Effects &effects)
+{
+    auto *const state = find(gate, request);
+    if (state == nullptr) {
+        return;
+    }
+    finish(gate, *state, Code::Cancelled, Reason::CallerGone, milliseconds(0), effects);
+    startWaiting(gate, now, effects);
+}
+
+void tick(Gate &gate, TimePoint now, Effects &effects)
+{
+    std::vector<RequestId> ids;
+    for (const auto &[id, state] : gate.requests) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    for (const auto id : ids) {
+        auto &state = gate.requests.at(id);
+        if (now >= state.facts.deadline) {
+            passDeadline(gate, state, now, effects);
+            continue;
+        }
+        hedge(gate, state, now, effects);
+    }
+    startWaiting(gate, now, effects);
+}
+
+void beginDrain(Gate &gate)
+{
+    gate.draining = true;
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/test/request-test.cc
@@ -0,0 +1,320 @@
+#include "oriolelever/request.h"
+
+#include <gtest/gtest.h>
+
+using namespace oriolelever;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1000s};
+
+template<typename T>
+std::vector<T> all(const Effects &effects)
+{
+    std::vector<T> found;
+    for (const auto &effect : effects) {
+        if (const auto *const match = std::get_if<T>(&effect)) {
+            found.push_back(*match);
+        }
+    }
+    return found;
+}
+
+RequestFacts facts(RequestId id, bool idempotent)
+{
+    return {.id = id, .caller = id, .idempotent = idempotent, .arrived = start, .deadline = start + 1s};
+}
+
+class GateTest : public testing::Test
+{
+protected:
+    Effects add(const RequestFacts &request, TimePoint now = start)
+    {
+        Effects effects;
+        arrive(gate, request, now, effects);
+        return effects;
+    }
+
+    Effects fail(const SendAttempt &sent, AttemptFailure failure, TimePoint now = start)
+    {
+        Effects effects;
+        attemptFailed(gate, sent.request, sent.attempt, failure, now, effects);
+        return effects;
+    }
+
+    SendAttempt sendFirst(bool idempotent)
+    {
+        const auto sent = all<SendAttempt>(add(facts(1, idempotent))).at(0);
+        byteLeft(gate, sent.request, sent.attempt);
+        return sent;
+    }
+
+    Gate gate;
+};
+
+} // namespace
+
+TEST_F(GateTest, AnswerIsRelayedAndEnds)
+{
+    const auto sent = sendFirst(false);
+    Effects effects;
+    answerEnded(gate, 1, sent.attempt, start + 5ms, effects);
+    ASSERT_EQ(all<RelayAnswer>(effects).size(), 1U);
+    EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Answered);
+    EXPECT_TRUE(gate.requests.empty());
+    EXPECT_EQ(gate.limiter.running, 0U);
+}
+
+TEST_F(GateTest, NonIdempotentIsNeverSentAgainAfterAByteLeft)
+{
+    const auto effects = fail(sendFirst(false), AttemptFailure::Broken);
+    EXPECT_TRUE(all<SendAttempt>(effects).empty());
+    EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::OutcomeUnknown);
+}
+
+TEST_F(GateTest, ShedNonIdempotentIsRefusedAndNotSentAgain)
+{
+    const auto effects = fail(sendFirst(false), AttemptFailure::Shed);
+    EXPECT_TRUE(all<SendAttempt>(effects).empty());
+    const auto end = all<Finish>(effects).at(0);
+    EXPECT_EQ(end.outcome, Code::RefusedNotRun);
+    EXPECT_GE(end.retryAfter, 20ms);
+}
+
+TEST_F(GateTest, UnsentMayBeSentOnceMoreAfterThePause)
+{
+    const auto sent = all<SendAttempt>(add(facts(1, false))).at(0);
+    EXPECT_TRUE(all<Finish>(fail(sent, AttemptFailure::NotSent)).empty());
+    Effects effects;
+    tick(gate, start + 25ms, effects);
+    EXPECT_EQ(all<SendAttempt>(effects).size(), 1U);
+}
+
+TEST_F(GateTest, RefusalAfterAnIdempotentRunIsToldAsUnknown)
+{
+    auto sent = sendFirst(true);
+    gate.budget.tokens = 0;
+    EXPECT_EQ(all<Finish>(fail(sent, AttemptFailure::Broken)).at(0).outcome, Code::OutcomeUnknown);
+}
+
+TEST_F(GateTest, DeadlineBeforeSendingIsARefusalAndAfterItUnknown)
+{
+    sendFirst(false);
+    add(facts(2, false));
+    Effects effects;
+    tick(gate, start + 2s, effects);
+    const auto ends = all<Finish>(effects);
+    ASSERT_EQ(ends.size(), 2U);
+    for (const auto &end : ends) {
+        EXPECT_EQ(end.outcome, end.request == 1 ? Code::OutcomeUnknown : Code::RefusedNotRun);
+    }
+    EXPECT_EQ(all<CancelAttempt>(effects).size(), 1U);
+}
+
+TEST_F(GateTest, HopelessRequestIsRefusedAtOnce)
+{
+    sendFirst(false);
+    gate.limiter.usualNs = 1e9;
+    const auto end = all<Finish>(add(facts(2, true))).at(0);
+    EXPECT_EQ(end.outcome, Code::RefusedNotRun);
+    EXPECT_EQ(end.reason, Reason::DeadlineTooClose);
+    EXPECT_GT(end.retryAfter, 0ms);
+}
+
+TEST_F(GateTest, CallerThatHangsUpCancels)
+{
+    sendFirst(false);
+    Effects effects;
+    callerGone(gate, 1, start, effects);
+    EXPECT_EQ(all<CancelAttempt>(effects).size(), 1U);
+    EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Cancelled);
+}
+
+TEST_F(GateTest, DrainRefusesNewAndLetsRunningFinish)
+{
+    const auto sent = sendFirst(false);
+    beginDrain(gate);
+    EXPECT_EQ(all<Finish>(add(facts(2, false))).at(0).reason, Reason::Draining);
+    Effects effects;
+    answerEnded(gate, 1, sent.attempt, start + 1ms, effects);
+    EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Answered);
+}
+
+TEST_F(GateTest, DrainHandsOverButOnlyOnce)
+{
+    gate.peersAvailable = true;
+    beginDrain(gate);
+    EXPECT_EQ(all<HandOver>(add(facts(1, false))).size(), 1U);
+    Effects effects;
+    handoverEnded(gate, 1, HandoverEnd::RefusedNotRun, 10ms, start, effects);
+    EXPECT_TRUE(all<HandOver>(effects).empty());
+    EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::RefusedNotRun);
+    auto further = facts(2, false);
+    further.handedOver = true;
+    EXPECT_TRUE(all<HandOver>(add(further)).empty());
+}
+
+TEST_F(GateTest, LostHandoverOfNonIdempotentIsUnknown)
+{
+    gate.peersAvailable = true;
+    beginDrain(gate);
+    add(facts(1, false));
+    Effects effects;
+    handoverEnded(gate, 1, HandoverEnd::Unknown, 0ms, start, effects);
+    EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::OutcomeUnknown);
+}
+
+TEST_F(GateTest, KeyedRequestRunsOnlyAfterItsClaim)
+{
+    auto request = facts(1, false);
+    request.keyed = true;
+    const auto first = add(request);
+    EXPECT_EQ(all<StartClaim>(first).size(), 1U);
+    EXPECT_TRUE(all<SendAttempt>(first).empty());
+    Effects effects;
+    claimEnded(gate, 1, ClaimVerdict::Fresh, 0ms, start, effects);
+    EXPECT_EQ(all<SendAttempt>(effects).size(), 1U);
+}
+
+TEST_F(GateTest, UnprovenKeyIsRefusedWithTheTimeToComeBack)
+{
+    auto request = facts(1, false);
+    request.keyed = true;
+    add(request);
+    Effects effects;
+    claimEnded(gate, 1, ClaimVerdict::NotProven, 700ms, start, effects);
+    const auto end = all<Finish>(effects).at(0);
+    EXPECT_EQ(end.outcome, Code::RefusedNotRun);
+    EXPECT_EQ(end.retryAfter, 700ms);
+}
+
+TEST_F(GateTest, RefusalAfterAClaimReleasesIt)
+{
+    auto request = facts(1, false);
+    request.keyed = true;
+    add(request);
+    Effects effects;
+    claimEnded(gate, 1, ClaimVerdict::Fresh, 0ms, start + 2s, effects);
+    EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::RefusedNotRun);
+    EXPECT_EQ(all<SettleClaim>(effects).at(0).end, ClaimEnd::Released);
+}
+
+TEST_F(GateTest, HedgeRunsInsideTheBudgetAndTheLoserIsCancelled)
+{
+    gate.limiter.limit = 2.0;
+    const auto sent = sendFirst(true);
+    Effects effects;
+    tick(gate, start + 50ms, effects);
+    const auto hedge = all<SendAttempt>(effects).at(0);
+    effects.clear();
+    answerEnded(gate, 1, hedge.attempt, start + 60ms, effects);
+    EXPECT_EQ(all<CancelAttempt>(effects).at(0).attempt, sent.attempt);
+    EXPECT_EQ(all<RelayAnswer>(effects).at(0).attempt, hedge.attempt);
+    EXPECT_EQ(gate.limiter.running, 0U);
+}
+
+TEST_F(GateTest, NoHedgeWithoutBudget)
+{
+    gate.limiter.limit = 2.0;
+    sendFirst(true);
+    gate.budget.tokens = 0;
+    Effects effects;
+    tick(gate, start + 50ms, effects);
+    EXPECT_TRUE(all<SendAttempt>(effects).empty());
+}
+
+TEST_F(GateTest, LateAnswerIsDroppedAndCounted)
+{
+    const auto sent = sendFirst(false);
+    Effects effects;
+    tick(gate, start + 2s, effects);
+    effects.clear();
+    answerEnded(gate, 1, sent.attempt, start + 3s, effects);
+    EXPECT_TRUE(effects.empty());
+    EXPECT_EQ(gate.counters.lateAnswers, 1U);
+}
+
+TEST_F(GateTest, BrokenAfterRelayIsNotSentAgain)
+{
+    const auto sent = sendFirst(true);
+    Effects effects;
+    answerBegan(gate, 1, sent.attempt, effects);
+    effects = fail(sent, AttemptFailure::Broken);
+    EXPECT_TRUE(all<SendAttempt>(effects).empty());
+    EXPECT_TRUE(all<Finish>(effects).at(0).relayed);
+}
+
+TEST(QueueTest, UrgentGoesFirstAndOrdinaryKeepsAShare)
+{
+    Queue queue;
+    std::optional<Waiting> evicted;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        push(queue, {i, i % 4, Urgency::Urgent, start}, evicted);
+        push(queue, {100 + i, i % 4, Urgency::Ordinary, start}, evicted);
+    }
+    int ordinary = 0;
+    for (int i = 0; i < 16; ++i) {
+        ordinary += pop(queue)->urgency == Urgency::Ordinary ? 1 : 0;
+    }
+    EXPECT_EQ(ordinary, 2);
+}
+
+TEST(QueueTest, CallersTakeTurnsAndDeadlinesOrderWithinOne)
+{
+    Queue queue;
+    std::optional<Waiting> evicted;
+    push(queue, {1, 7, Urgency::Urgent, start + 3s}, evicted);
+    push(queue, {2, 7, Urgency::Urgent, start + 1s}, evicted);
+    push(queue, {3, 8, Urgency::Urgent, start + 9s}, evicted);
+    EXPECT_EQ(pop(queue)->request, 2U);
+    EXPECT_EQ(pop(queue)->request, 3U);
+    EXPECT_EQ(pop(queue)->request, 1U);
+}
+
+TEST(QueueTest, FullQueueGivesUpOrdinaryForUrgentAndLimitsCallers)
+{
+    Queue queue{.options = {.capacity = 2, .callerCapacity = 1}};
+    std::optional<Waiting> evicted;
+    push(queue, {1, 1, Urgency::Ordinary, start}, evicted);
+    EXPECT_EQ(push(queue, {2, 1, Urgency::Urgent, start}, evicted), PushResult::CallerFull);
+    push(queue, {2, 2, Urgency::Ordinary, start + 1s}, evicted);
+    EXPECT_EQ(push(queue, {3, 3, Urgency::Ordinary, start}, evicted), PushResult::Full);
+    EXPECT_EQ(push(queue, {4, 4, Urgency::Urgent, start}, evicted), PushResult::Queued);
+    ASSERT_TRUE(evicted);
+    EXPECT_EQ(evicted->request, 2U);
+}
+
+TEST(LimiterTest, GrowsByEvidenceAndFallsBackWhenCold)
+{
+    Limiter limiter{.options = {.slots = 4}};
+    const auto answers = [&](int count, Duration elapsed) {
+        for (int i = 0; i < count; ++i) {
+            noteStart(limiter);
+            noteAnswer(limiter, elapsed);
+        }
+    };
+    answers(7, 10ms);
+    EXPECT_EQ(allowed(limiter, start), 1U);
+    answers(17, 10ms);
+    EXPECT_EQ(allowed(limiter, start), 4U);
+    answers(1, 60ms);
+    EXPECT_EQ(allowed(limiter, start), 1U);
+    answers(8, 10ms);
+    EXPECT_EQ(allowed(limiter, start), 1U);
+    answers(12, 10ms);
+    EXPECT_EQ(allowed(limiter, start), 2U);
+}
+
+TEST(LimiterTest, FailuresPauseLongerEachTime)
+{
+    Limiter limiter;
+    noteStart(limiter);
+    noteFailure(limiter, start);
+    EXPECT_FALSE(hasSlot(limiter, start + 10ms));
+    EXPECT_TRUE(hasSlot(limiter, start + 20ms));
+    noteStart(limiter);
+    noteFailure(limiter, start + 20ms);
+    EXPECT_FALSE(hasSlot(limiter, start + 50ms));
+    EXPECT_TRUE(hasSlot(limiter, start + 60ms));
+}
