--- a/include/oriolelever/delivery.h
+++ b/include/oriolelever/delivery.h
@@ -54,7 +54,7 @@
     std::uint16_t mtu = 1500; ///< Of an inner packet, bytes.
     Duration closeTime = std::chrono::seconds(2); ///< An ended flow is freed after this.
     Duration tcpIdleTime = std::chrono::hours(2);
-    Duration udpIdleTime = std::chrono::minutes(2);
+    Duration udpIdleTime = std::chrono::minutes(3);
 };
 
 /// One connected UDP socket for each flow. Fails with `Code::SocketFailed`.
--- a/src/agent-worker.cc
+++ b/src/agent-worker.cc
@@ -236,7 +236,7 @@
 
 bool AgentPath::Worker::mayTell(const Endpoint &sender)
 {
-    auto &told = m_told[std::hash<Endpoint>{}(sender) % m_told.size()];
+    auto &told = m_told[EndpointHash{}(sender) % m_told.size()];
     if (told.sender == sender && m_now - told.at < tellInterval) {
         return false;
     }
@@ -471,9 +471,7 @@
 void AgentPath::Worker::closed(const FlowKey &flow)
 {
     m_counters.count(PathEvent::FlowClosed);
-    m_effects.clear();
-    onLocalClose(m_directory, flow, m_now, m_effects);
-    performRest();
+    onLocalClose(m_directory, flow, m_now);
 }
 
 std::span<std::uint8_t> AgentPath::Worker::scratch()
