--- /dev/null
+++ b/include/oriolelever/admin.h
@@ -0,0 +1,61 @@
+/// Metrics, health and status of one process over HTTP.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "oriolelever/kernel.h"
+#include "oriolelever/metrics.h"
+#include "oriolelever/types.h"
+
+namespace oriolelever {
+
+/// Serves `process.admin` on the control thread: /metrics in Prometheus' text format, /health with 200 or,
+/// while draining, 503, and /status as one JSON object with a member for each provider.
+///
+///     admin.addStatus("members", [this] { return nlohmann::json{{"live", m_live}}; });
+class Admin : public Service
+{
+public:
+    /// `metrics` must outlive the service; port 0 of `address` takes any free one.
+    Admin(Endpoint address, Metrics &metrics);
+    ~Admin() override;
+
+    Result<void> start(Kernel &kernel) override;
+    void drain(std::function<void()> done) override;
+    void stop() override;
+
+    /// Starts without a kernel, on `control`.
+    Result<void> startOn(asio::io_context &control);
+
+    /// Adds or replaces a provider; it is called on the control thread.
+    void addStatus(std::string name, std::function<nlohmann::json()> provider);
+
+    /// Makes /health answer 503 from now on.
+    void setDraining();
+
+    /// The port that is listened on, once the control thread runs.
+    std::uint16_t port() const
+    {
+        return m_port;
+    }
+
+    /// The answer to /status.
+    nlohmann::json status() const;
+
+private:
+    class Server;
+
+    Endpoint m_address;
+    Metrics &m_metrics;
+    std::map<std::string, std::function<nlohmann::json()>> m_providers;
+    std::unique_ptr<Server> m_server;
+    std::uint16_t m_port = 0;
+    bool m_draining = false;
+};
+
+} // namespace oriolelever
