Platform client, its stand-in, metrics and admin endpoint

Cause: every process and the operators' commands read and write the platform's objects. Change: an asynchronous object API over libcurl with a call budget, backoff with full jitter and resolution of lost answers by change identifiers; a stand-in with faults and a fake in memory; /metrics, /health and /status over RESTinio. Conclusion: a write whose answer is lost is told as such and resolved by reading back.

--- a/include/oriolelever/admin.h
+++ b/include/oriolelever/admin.h
@@ -26,7 +26,7 @@
     ~Admin() override;
 
     Result<void> start(Kernel &kernel) override;
-    void drain(std::function<void()> done) override;
+    void beginDrain() override;
     void stop() override;
 
     /// Starts without a kernel, on `control`.
--- a/lab/commands.h
+++ b/lab/commands.h
@@ -7,5 +7,7 @@
 
 /// Figures of a deployment run from its reports.
 Command summaryCommand();
+/// Stand-in of the platform's object API.
+Command platformCommand();
 
 } // namespace oriolelever::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -5,6 +5,7 @@
 int main(int argc, char **argv)
 {
     const auto commands = std::to_array<oriolelever::Command>({
+        oriolelever::lab::platformCommand(),
         oriolelever::lab::summaryCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
--- /dev/null
+++ b/src/platform-policy.cc
@@ -0,0 +1,257 @@
+#include "oriolelever/platform.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::size_t changeIdBytes = 16;
+constexpr std::size_t keptChanges = 8;
+constexpr int maxBackoffDoublings = 20;
+constexpr const char *changesMember = "changes";
+
+constexpr int statusUnauthorized = 401;
+constexpr int statusForbidden = 403;
+constexpr int statusNotFound = 404;
+constexpr int statusGone = 410;
+constexpr int statusConflict = 412;
+constexpr int statusThrottled = 429;
+constexpr int statusUnavailable = 503;
+
+Error lostAnswer(CallKind kind, const std::string &subject)
+{
+    if (kind == CallKind::Write) {
+        return {Code::PlatformOutcomeUnknown, fmt::format("the answer to the write of {} was lost", subject)};
+    }
+    return {Code::PlatformUnreachable, fmt::format("the platform did not answer the read of {}", subject)};
+}
+
+} // namespace
+
+std::string newChangeId()
+{
+    std::array<unsigned char, changeIdBytes> bytes{};
+    randombytes_buf(bytes.data(), bytes.size());
+    std::array<char, 2 * changeIdBytes + 1> text{};
+    sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
+    return text.data();
+}
+
+void appendChange(std::vector<std::string> &changes, const std::string &change)
+{
+    changes.push_back(change);
+    if (changes.size() > keptChanges) {
+        changes.erase(changes.begin(), changes.end() - keptChanges);
+    }
+}
+
+Resolution resolveUnknown(const Object &intended, const std::string &change, const Answer<Object> &readBack)
+{
+    if (!readBack) {
+        const bool absent = readBack.error().code == Code::NotFound;
+        if (!absent) {
+            return Resolution::StillUnknown;
+        }
+        return intended.version == 0 ? Resolution::WriteAgain : Resolution::Overtaken;
+    }
+    const auto &stored = readBack.value();
+    if (std::find(stored.changes.begin(), stored.changes.end(), change) != stored.changes.end()) {
+        return Resolution::TookEffect;
+    }
+    // An answer older than what was read before the write cannot tell.
+    if (stored.version < intended.version) {
+        return Resolution::StillUnknown;
+    }
+    return stored.version == intended.version ? Resolution::WriteAgain : Resolution::Overtaken;
+}
+
+namespace {
+
+struct ResolvedWrite : std::enable_shared_from_this<ResolvedWrite>
+{
+    ObjectApi *api = nullptr;
+    Object object;
+    std::string change;
+    int attempts = 0;
+    Done<Object> done;
+
+    void write()
+    {
+        api->write(object, change, [self = shared_from_this()](const Answer<Object> &answer) {
+            const bool unknown = !answer && answer.error().code == Code::PlatformOutcomeUnknown;
+            // A conflict after a lost answer may be with the write itself.
+            const bool ambiguous = !answer && answer.error().code == Code::PlatformConflict && self->m_lost;
+            if (!unknown && !ambiguous) {
+                self->done(answer);
+                return;
+            }
+            self->m_lost = true;
+            self->m_last = answer.error();
+            self->readBack();
+        });
+    }
+
+    void readBack()
+    {
+        if (--attempts < 0) {
+            done(Error{Code::PlatformOutcomeUnknown, m_last.text});
+            return;
+        }
+        api->read(object.kind, object.name,
+                  [self = shared_from_this()](const Answer<Object> &answer) { self->conclude(answer); });
+    }
+
+    void conclude(const Answer<Object> &answer)
+    {
+        switch (resolveUnknown(object, change, answer)) {
+        case Resolution::TookEffect:
+            done(answer);
+            return;
+        case Resolution::WriteAgain:
+            write();
+            return;
+        case Resolution::Overtaken:
+            done(Error{Code::PlatformConflict,
+                       fmt::format("{} \"{}\" was changed by another write", object.kind, object.name)});
+            return;
+        case Resolution::StillUnknown:
+            readBack();
+            return;
+        }
+    }
+
+private:
+    bool m_lost = false;
+    Error m_last;
+};
+
+} // namespace
+
+void writeResolved(ObjectApi &api, Object object, int attempts, Done<Object> done)
+{
+    auto write = std::make_shared<ResolvedWrite>();
+    write->api = &api;
+    write->object = std::move(object);
+    write->change = newChangeId();
+    write->attempts = attempts;
+    write->done = std::move(done);
+    write->write();
+}
+
+Duration takeCall(CallBudget &budget, TimePoint now)
+{
+    if (now > budget.refilled) {
+        const std::chrono::duration<double> elapsed = now - budget.refilled;
+        budget.tokens = std::min(budget.burst, budget.tokens + elapsed.count() * budget.callsPerSecond);
+        budget.refilled = now;
+    }
+    if (budget.tokens >= 1) {
+        budget.tokens -= 1;
+        return Duration::zero();
+    }
+    const std::chrono::duration<double> wait((1 - budget.tokens) / budget.callsPerSecond);
+    return std::chrono::ceil<std::chrono::microseconds>(wait);
+}
+
+void noteFailure(Backoff &backoff, TimePoint now, double unit)
+{
+    const double factor = std::exp2(std::min(backoff.failures, maxBackoffDoublings));
+    const std::chrono::duration<double> limit = backoff.limit;
+    const std::chrono::duration<double> base = backoff.base;
+    const std::chrono::duration<double> wait(unit * std::min(limit.count(), base.count() * factor));
+    ++backoff.failures;
+    backoff.notBefore = now + std::chrono::duration_cast<Duration>(wait);
+}
+
+void noteSuccess(Backoff &backoff)
+{
+    backoff.failures = 0;
+    backoff.notBefore = {};
+}
+
+Error interpretAnswer(const HttpAnswer &answer, CallKind kind, const std::string &subject)
+{
+    switch (answer.state) {
+    case TransferState::NotSent:
+        return {Code::PlatformUnreachable, fmt::format("the platform cannot be reached for {}", subject)};
+    case TransferState::Lost:
+        return lostAnswer(kind, subject);
+    case TransferState::Complete:
+        break;
+    }
+    if (answer.status >= 200 && answer.status < 300) {
+        return {Code::Ok, {}};
+    }
+    switch (answer.status) {
+    case statusUnauthorized:
+    case statusForbidden:
+        return {Code::NotPermitted, fmt::format("the platform's token does not allow {}", subject)};
+    case statusNotFound:
+        return {Code::NotFound, fmt::format("{} does not exist", subject)};
+    case statusGone:
+        return {Code::VersionStale, fmt::format("the platform no longer holds the events of {}", subject)};
+    case statusConflict:
+        return {Code::PlatformConflict, fmt::format("{} changed since it was read", subject)};
+    case statusThrottled:
+        return {Code::PlatformThrottled, fmt::format("the platform's rate refused {}", subject)};
+    case statusUnavailable:
+        return {Code::PlatformUnreachable, fmt::format("the platform is not available for {}", subject)};
+    default:
+        break;
+    }
+    if (answer.status >= 500) {
+        return lostAnswer(kind, subject);
+    }
+    return {Code::PlatformRefused, fmt::format("the platform refused {}: status {}", subject, answer.status)};
+}
+
+nlohmann::json storedValue(const Object &object)
+{
+    auto value = object.value;
+    if (value.is_object()) {
+        value[changesMember] = object.changes;
+    }
+    return value;
+}
+
+bool parseObject(const nlohmann::json &json, Object &out)
+{
+    if (!json.is_object() || !json.contains("kind") || !json.contains("name") || !json.contains("version")) {
+        return false;
+    }
+    if (!json["kind"].is_string() || !json["name"].is_string() || !json["version"].is_number_unsigned()) {
+        return false;
+    }
+    out.kind = json["kind"].get<std::string>();
+    out.name = json["name"].get<std::string>();
+    out.version = json["version"].get<std::uint64_t>();
+    out.value = json.value("value", nlohmann::json());
+    out.changes.clear();
+    if (!out.value.is_object() || !out.value.contains(changesMember)) {
+        return true;
+    }
+    for (const auto &change : out.value[changesMember]) {
+        if (change.is_string()) {
+            out.changes.push_back(change.get<std::string>());
+        }
+    }
+    out.value.erase(changesMember);
+    return true;
+}
+
+PlatformOptions platformOptions(const Settings &settings)
+{
+    return {
+        .url = settings.text("platform", "url"),
+        .token = settings.text("platform", "token"),
+        .timeout = settings.time("platform", "timeout_ms"),
+        .callsPerSecond = static_cast<double>(settings.count("platform", "calls_per_second")),
+    };
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/test/admin-test.cc
@@ -0,0 +1,94 @@
+#include "oriolelever/admin.h"
+
+#include <asio.hpp>
+#include <gtest/gtest.h>
+#include <prometheus/counter.h>
+
+using namespace oriolelever;
+
+namespace {
+
+class AdminTest : public testing::Test
+{
+protected:
+    AdminTest()
+        : m_admin(loopback(0), m_metrics)
+    {
+    }
+
+    static Endpoint loopback(std::uint16_t port)
+    {
+        Endpoint endpoint;
+        parseEndpoint("127.0.0.1:1", endpoint);
+        endpoint.port = port;
+        return endpoint;
+    }
+
+    bool start(Admin &admin)
+    {
+        return handleError(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(admin.startOn(m_control));
+                return true;
+            },
+            [&](const Error &error) {
+                m_error = error;
+                return false;
+            });
+    }
+
+    // The whole answer to a GET request, with the head.
+    std::string ask(const std::string &path)
+    {
+        asio::ip::tcp::socket socket(m_control);
+        std::string answer;
+        bool ended = false;
+        while (m_admin.port() == 0) {
+            m_control.run_one();
+        }
+        socket.connect({asio::ip::address_v4::loopback(), m_admin.port()});
+        asio::write(socket,
+                    asio::buffer("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+        asio::async_read(socket, asio::dynamic_buffer(answer),
+                         [&](const asio::error_code &, std::size_t) { ended = true; });
+        while (!ended) {
+            m_control.run_one();
+        }
+        return answer;
+    }
+
+    asio::io_context m_control;
+    Metrics m_metrics;
+    Admin m_admin;
+    Error m_error;
+};
+
+} // namespace
+
+TEST_F(AdminTest, ServesMetricsHealthAndStatus)
+{
+    prometheus::BuildCounter()
+        .Name("oriolelever_x_total")
+        .Register(m_metrics.registry())
+        .Add({})
+        .Increment(3);
+    m_admin.addStatus("members", [] { return nlohmann::json{{"live", 7}}; });
+    ASSERT_TRUE(start(m_admin));
+    EXPECT_NE(ask("/metrics").find("oriolelever_x_total 3"), std::string::npos);
+    EXPECT_NE(ask("/status").find(R"({"members":{"live":7}})"), std::string::npos);
+    EXPECT_NE(ask("/health").find("200 OK"), std::string::npos);
+    m_admin.setDraining();
+    EXPECT_NE(ask("/health").find("503"), std::string::npos);
+    EXPECT_NE(ask("/other").find("404"), std::string::npos);
+    m_admin.stop();
+}
+
+TEST_F(AdminTest, PortInUseIsNamed)
+{
+    asio::ip::tcp::acceptor holder(m_control, {asio::ip::address_v4::loopback(), 0});
+    const auto port = holder.local_endpoint().port();
+    Admin second(loopback(port), m_metrics);
+    EXPECT_FALSE(start(second));
+    EXPECT_EQ(m_error.code, Code::AddressInUse);
+    EXPECT_NE(m_error.text.find(":" + std::to_string(port)), std::string::npos);
+}
