--- a/include/oriolelever/agent-path.h
+++ b/include/oriolelever/agent-path.h
@@ -38,7 +38,7 @@
 class AgentPath
 {
 public:
-    AgentPath(AgentPathOptions options, std::unique_ptr<Delivery> delivery);
+    AgentPath(const AgentPathOptions &options, std::unique_ptr<Delivery> delivery);
     ~AgentPath();
     AgentPath(const AgentPath &) = delete;
     AgentPath &operator=(const AgentPath &) = delete;
--- a/lab/fabric.cc
+++ b/lab/fabric.cc
@@ -380,14 +380,6 @@
         endFlow(flow.key);
         return;
     }
-    if (opening) {
-        ++m_figures.flowsOpened;
-        flow.state = FlowState::Open;
-        flow.underWay = false;
-        flow.lastAnswer = now;
-        schedule(flow, now + m_options.packetGap);
-        return;
-    }
     noteServer(flow, payload, now);
 }
 
--- a/lab/packet-server.cc
+++ b/lab/packet-server.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t bufferSize = 4096;
 constexpr int pollMillis = 50;
 constexpr auto closingTime = std::chrono::seconds(5);
+constexpr std::uint32_t initialSequence = 1000;
 constexpr std::uint16_t serverMss = 1460;
 
 } // namespace
@@ -124,7 +125,7 @@
     ++m_figures.flowsOpened;
     ++m_figures.flowsBySlot[wallSlotOf(std::chrono::system_clock::now())];
     auto &flow = m_flows[parsed.flow];
-    flow = {.sequence = 1000, .expected = parsed.sequence + 1, .closing = false, .lastSeen = {}};
+    flow = {.sequence = initialSequence, .expected = parsed.sequence + 1, .closing = false, .lastSeen = {}};
     m_figures.peakFlows = std::max(m_figures.peakFlows, m_flows.size());
     return flow;
 }
@@ -137,9 +138,10 @@
         const bool repeated = known != m_flows.end() && known->second.expected == parsed.sequence + 1;
         auto &flow = repeated ? known->second : openFlow(parsed);
         flow.lastSeen = std::chrono::steady_clock::now();
+        // The answer to the SYN has the name as data, so that the fabric knows the server from the start.
         const auto next = flow.sequence;
-        flow.sequence = 1000;
-        reply(parsed, flow, tcp::syn | tcp::ack, false, agent);
+        flow.sequence = initialSequence;
+        reply(parsed, flow, tcp::syn | tcp::ack, true, agent);
         flow.sequence = std::max(next, flow.sequence + 1);
         return;
     }
--- a/src/agent-path.cc
+++ b/src/agent-path.cc
@@ -4,8 +4,8 @@
 
 namespace oriolelever {
 
-AgentPath::AgentPath(AgentPathOptions options, std::unique_ptr<Delivery> delivery)
-    : m_options(std::move(options))
+AgentPath::AgentPath(const AgentPathOptions &options, std::unique_ptr<Delivery> delivery)
+    : m_options(options)
     , m_delivery(std::move(delivery))
 {
 }
--- a/test/path-test.cc
+++ b/test/path-test.cc
@@ -34,3 +34,113 @@
         }
     }
 }
+
+TEST(PathTest, PlannedChangesBreakNoFlow)
+{
+    for (const auto protocol : {Protocol::Tcp, Protocol::Udp}) {
+        Deployment deployment({.balancers = 3, .servers = 4, .protocol = protocol});
+        EXPECT_TRUE(deployment.openFlows(40));
+
+        // One balancer keeps the roster from before each change.
+        deployment.announce(deployment.server(1), NodeState::Draining);
+        deployment.publish(1);
+        EXPECT_TRUE(deployment.openFlows(40));
+
+        // An agent restarts beside its living server.
+        deployment.restartAgent(deployment.server(2));
+        deployment.publish(1);
+        EXPECT_TRUE(deployment.openFlows(40));
+
+        // A balancer leaves, another joins.
+        deployment.addBalancer();
+        deployment.publish(1);
+        deployment.useBalancers(4);
+        EXPECT_TRUE(deployment.openFlows(40));
+        deployment.announce(deployment.server(1), NodeState::Ready);
+        deployment.publish(1);
+        EXPECT_TRUE(deployment.openFlows(40));
+        expectWhole(deployment);
+        EXPECT_GT(deployment.sum(PathEvent::StaleNotice), 0U);
+        EXPECT_GT(deployment.balancer(0).total(PathEvent::StaleNotice), 0U);
+    }
+}
+
+TEST(PathTest, DrainingServerTakesNoNewFlows)
+{
+    Deployment deployment({.servers = 3});
+    EXPECT_TRUE(deployment.openFlows(30));
+    deployment.announce(deployment.server(0), NodeState::Draining);
+    deployment.publish();
+    EXPECT_TRUE(deployment.openFlows(30)); // The handover of the buckets is over.
+    const auto before = deployment.server(0).server->figures().flowsOpened;
+    EXPECT_TRUE(deployment.openFlows(60));
+    EXPECT_EQ(deployment.server(0).server->figures().flowsOpened, before);
+    expectWhole(deployment);
+}
+
+TEST(PathTest, ZoneThatIsOutGetsNoPackets)
+{
+    Deployment deployment({.servers = 4});
+    EXPECT_TRUE(deployment.openFlows(40));
+    deployment.fabric().markZoneOut("bergamo");
+    deployment.putZone("bergamo", ZoneState::Out);
+    deployment.publish(1);
+    EXPECT_TRUE(deployment.openFlows(20));
+    const auto before = deployment.server(1).server->figures().packets;
+    EXPECT_TRUE(deployment.openFlows(60));
+    // Balancer 0 still sends packets to the zone; its agents do not let them through.
+    EXPECT_EQ(deployment.server(1).server->figures().packets, before);
+    EXPECT_GT(deployment.server(1).agent->counters().value(DropReason::ZoneOut), 0U);
+    deployment.putZone("bergamo", ZoneState::In);
+    deployment.publish();
+    const auto opened = deployment.server(1).server->figures().flowsOpened;
+    EXPECT_TRUE(waitFor([&] { return deployment.server(1).server->figures().flowsOpened > opened; }));
+    expectWhole(deployment);
+    EXPECT_GT(deployment.fabric().figures().flowsGivenUpWithZone, 0U);
+}
+
+TEST(PathTest, PacketOfAnUnknownServiceIsCountedOnly)
+{
+    Deployment deployment({.flowsPerSecond = 0});
+    const auto socket = handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
+                                    [](const Error &) { return FileDescriptor(); });
+    std::vector<std::uint8_t> buffer(200);
+    const auto room = std::span(buffer).subspan(maxGueHeaderSize);
+    const auto size = buildTcp(room,
+                               {.source = endpointOf("198.18.0.1:5000"),
+                                .destination = endpointOf("198.51.100.99:443"),
+                                .tcpFlags = tcp::syn});
+    SendBatch single(1);
+    single.add(prependPlainGue(room.first(size)), deployment.balancer(0).local());
+    single.flush(socket);
+    EXPECT_TRUE(waitFor([&] { return deployment.balancer(0).total(PathEvent::UnknownService) == 1; }));
+    EXPECT_EQ(deployment.balancer(0).total(PathEvent::Received), 1U);
+    EXPECT_EQ(deployment.balancer(0).total(PathEvent::Relayed), 0U);
+}
+
+TEST(PathTest, PacketForAnotherServiceIsRefusedWithANotice)
+{
+    Deployment deployment({.flowsPerSecond = 0});
+    const auto socket = handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
+                                    [](const Error &) { return FileDescriptor(); });
+    std::vector<std::uint8_t> buffer(200);
+    const auto room = std::span(buffer).subspan(maxGueHeaderSize);
+    const auto size = buildTcp(room,
+                               {.source = endpointOf("198.18.0.1:5000"),
+                                .destination = endpointOf("198.51.100.10:443"),
+                                .tcpFlags = tcp::syn});
+    const PathData path{.service = idOf<ServiceId>("archivio"), .target = 1, .rosterVersion = 1};
+    auto &agent = *deployment.server(0).agent;
+    SendBatch single(1);
+    single.add(prependGue(room.first(size), false, gueIpv4, path, {}), agent.local());
+    single.flush(socket);
+    ReceiveBatch receive(1, 200);
+    ASSERT_TRUE(waitFor([&] { return receive.receive(socket) == 1; }));
+    GuePacket notice;
+    ASSERT_EQ(decodeGue(receive.datagram(0), {}, notice), GueFault::None);
+    EXPECT_EQ(notice.type, static_cast<std::uint8_t>(ControlType::WrongTarget));
+    EXPECT_EQ(notice.path->service, idOf<ServiceId>("sportello"));
+    EXPECT_EQ(notice.path->sender, idOf<ServerId>("s0"));
+    EXPECT_EQ(agent.counters().value(DropReason::WrongService), 1U);
+    EXPECT_EQ(deployment.server(0).server->figures().packets, 0U);
+}
