Record table with digests, exchange of differences, neighbours in the logical hypercube

Configuration and announcements must reach 11,000 nodes without a coordinator and be repaired after gaps. Records of one table are compared by a digest tree of 64 branches and 4096 leaves; neighbours are the live nodes closest by XOR to the vertices of a hypercube over hashed labels, so that a join or leave moves few edges.

--- /dev/null
+++ b/src/dissem.cc
@@ -0,0 +1,399 @@
+#include "oriolelever/dissem.h"
+
+#include <algorithm>
+#include <bit>
+
+#include <xxhash.h>
+
+namespace oriolelever {
+
+namespace {
+
+constexpr int zoneBits = 16;
+
+std::size_t leafOf(std::uint64_t key)
+{
+    return key % digestLeaves;
+}
+
+template<typename Entries>
+RecordVersion versionIn(const Entries &entries, const std::string &name)
+{
+    const auto entry = entries.find(name);
+    return entry == entries.end() ? RecordVersion{} : entry->second.version;
+}
+
+RecordVersion liveVersion(const ClusterView &view, RecordKind kind, const std::string &name)
+{
+    switch (kind) {
+    case RecordKind::Service:
+        return versionIn(view.services, name);
+    case RecordKind::Zone:
+        return versionIn(view.zones, name);
+    case RecordKind::Server:
+        return versionIn(view.orders, name);
+    case RecordKind::Node:
+        return versionIn(view.nodes, name);
+    }
+    return {};
+}
+
+std::string encodedValue(const ClusterView &view, RecordKind kind, const std::string &name)
+{
+    switch (kind) {
+    case RecordKind::Service:
+        return encodeServiceRow(view.services.at(name).row);
+    case RecordKind::Zone:
+        return encodeZoneRow(view.zones.at(name).row);
+    case RecordKind::Server:
+        return encodeServerOrder(view.orders.at(name).order);
+    case RecordKind::Node:
+        return encodeAnnouncement(view.nodes.at(name).announcement);
+    }
+    return {};
+}
+
+const std::string *keyOf(const ClusterView &view, RecordKind kind, const std::string &name)
+{
+    switch (kind) {
+    case RecordKind::Service:
+        return &view.services.find(name)->first;
+    case RecordKind::Zone:
+        return &view.zones.find(name)->first;
+    case RecordKind::Server:
+        return &view.orders.find(name)->first;
+    case RecordKind::Node:
+        return &view.nodes.find(name)->first;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::uint64_t hashKey(const RecordKey &key)
+{
+    return XXH3_64bits_withSeed(key.name.data(), key.name.size(), static_cast<XXH64_hash_t>(key.kind));
+}
+
+std::uint64_t hashVersion(std::uint64_t key, const RecordVersion &version)
+{
+    const std::array<std::uint64_t, 3> words = {key, version.epoch, version.sequence};
+    return XXH3_64bits(words.data(), sizeof(words));
+}
+
+RecordVersion nextOwnVersion(const RecordVersion &seen, Incarnation incarnation)
+{
+    if (seen.epoch < incarnation) {
+        return {incarnation, 2};
+    }
+    return {seen.epoch, (seen.sequence / 2 + 1) * 2};
+}
+
+RecordVersion accusationVersion(const RecordVersion &seen)
+{
+    return {seen.epoch, seen.sequence / 2 * 2 + 1};
+}
+
+Record accusation(const ClusterView::NodeEntry &entry)
+{
+    auto announcement = entry.announcement;
+    announcement.state = NodeState::Down;
+    return {.key = {RecordKind::Node, announcement.name},
+            .version = accusationVersion(entry.version),
+            .value = encodeAnnouncement(announcement)};
+}
+
+RecordTable::RecordTable()
+    : m_branches(digestBranches)
+    , m_leaves(digestLeaves)
+{
+}
+
+void RecordTable::toggle(std::uint64_t key, const RecordVersion &version)
+{
+    const auto hash = hashVersion(key, version);
+    const auto leaf = leafOf(key);
+    m_root ^= hash;
+    m_branches[leaf / leavesPerBranch] ^= hash;
+    m_leaves[leaf] ^= hash;
+}
+
+const RecordTable::Slot *RecordTable::slot(std::uint64_t key) const
+{
+    const auto leaf = m_slots.find(leafOf(key));
+    if (leaf == m_slots.end()) {
+        return nullptr;
+    }
+    const auto &slots = leaf->second;
+    const auto found =
+        std::find_if(slots.begin(), slots.end(), [&](const Slot &slot) { return slot.key == key; });
+    return found == slots.end() ? nullptr : &*found;
+}
+
+RecordVersion RecordTable::slotVersion(const Slot &slot) const
+{
+    if (slot.deleted) {
+        return m_tombstones.at({slot.kind, *slot.name});
+    }
+    return liveVersion(m_view, slot.kind, *slot.name);
+}
+
+Record RecordTable::toRecord(const Slot &slot) const
+{
+    Record record{.key = {slot.kind, *slot.name}, .version = slotVersion(slot), .deleted = slot.deleted};
+    if (!slot.deleted) {
+        record.value = encodedValue(m_view, slot.kind, *slot.name);
+    }
+    return record;
+}
+
+// The view's maps keep their keys in place, so that a slot can point at them.
+void RecordTable::index(const Record &record, std::uint64_t key)
+{
+    const auto *name = record.deleted ? &m_tombstones.find(record.key)->first.name
+                                      : keyOf(m_view, record.key.kind, record.key.name);
+    const Slot updated{.key = key, .name = name, .kind = record.key.kind, .deleted = record.deleted};
+    auto &slots = m_slots[leafOf(key)];
+    const auto found =
+        std::find_if(slots.begin(), slots.end(), [&](const Slot &slot) { return slot.key == key; });
+    if (found != slots.end()) {
+        *found = updated;
+        return;
+    }
+    slots.push_back(updated);
+    ++m_size;
+}
+
+Result<bool> RecordTable::apply(const Record &record)
+{
+    const auto key = hashKey(record.key);
+    const auto *const before = slot(key);
+    const auto previous = before == nullptr ? RecordVersion{} : slotVersion(*before);
+    const bool known = before != nullptr;
+    BOOST_LEAF_AUTO(applied, applyRecord(m_view, record));
+    if (!applied) {
+        return false;
+    }
+    if (known) {
+        toggle(key, previous);
+    }
+    toggle(key, record.version);
+    if (record.deleted) {
+        m_tombstones[record.key] = record.version;
+    }
+    index(record, key);
+    if (!record.deleted) {
+        m_tombstones.erase(record.key);
+    }
+    return true;
+}
+
+std::optional<Record> RecordTable::find(std::uint64_t key) const
+{
+    const auto *const found = slot(key);
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    return toRecord(*found);
+}
+
+std::optional<Record> RecordTable::find(const RecordKey &key) const
+{
+    return find(hashKey(key));
+}
+
+std::optional<RecordVersion> RecordTable::version(const RecordKey &key) const
+{
+    const auto *const found = slot(hashKey(key));
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    return slotVersion(*found);
+}
+
+std::span<const std::uint64_t> RecordTable::leaves(std::size_t branch) const
+{
+    return std::span(m_leaves).subspan(branch * leavesPerBranch, leavesPerBranch);
+}
+
+std::vector<RecordTable::Entry> RecordTable::entries(std::size_t leaf) const
+{
+    std::vector<Entry> result;
+    const auto slots = m_slots.find(leaf);
+    if (slots == m_slots.end()) {
+        return result;
+    }
+    for (const auto &slot : slots->second) {
+        result.push_back({slot.key, slotVersion(slot)});
+    }
+    return result;
+}
+
+std::vector<Record> expandLoss(const ClusterView &view, const ZoneLoss &loss)
+{
+    std::vector<Record> accusations;
+    for (const auto &[name, entry] : view.nodes) {
+        const bool lost =
+            entry.announcement.zone == loss.zone && entry.announcement.state != NodeState::Down;
+        if (!lost || std::find(loss.alive.begin(), loss.alive.end(), name) != loss.alive.end()) {
+            continue;
+        }
+        accusations.push_back(accusation(entry));
+    }
+    return accusations;
+}
+
+bool concernsService(const ClusterView &view, const Record &record, const std::string &service)
+{
+    switch (record.key.kind) {
+    case RecordKind::Zone:
+        return true;
+    case RecordKind::Service:
+        return record.key.name == service;
+    case RecordKind::Server:
+    case RecordKind::Node: {
+        const auto node = view.nodes.find(record.key.name);
+        return node != view.nodes.end() && node->second.announcement.service == service;
+    }
+    }
+    return false;
+}
+
+std::vector<Record> recordsForService(const RecordTable &table, const std::string &service)
+{
+    const auto &view = table.view();
+    std::vector<Record> records;
+    const auto add = [&](RecordKind kind, const std::string &name) {
+        if (auto record = table.find(RecordKey{kind, name})) {
+            records.push_back(std::move(*record));
+        }
+    };
+    add(RecordKind::Service, service);
+    for (const auto &[name, entry] : view.zones) {
+        add(RecordKind::Zone, name);
+    }
+    for (const auto &[name, entry] : view.nodes) {
+        if (entry.announcement.service != service) {
+            continue;
+        }
+        add(RecordKind::Node, name);
+        add(RecordKind::Server, name);
+    }
+    return records;
+}
+
+std::uint64_t digestOf(std::span<const Record> records)
+{
+    std::uint64_t digest = 0;
+    for (const auto &record : records) {
+        digest ^= hashVersion(hashKey(record.key), record.version);
+    }
+    return digest;
+}
+
+std::uint64_t labelOf(const std::string &zone, const std::string &name)
+{
+    const auto high = hashName(zone) >> (64 - zoneBits) << (64 - zoneBits);
+    return high | (hashName(name) >> zoneBits);
+}
+
+std::vector<Member> liveMembers(const ClusterView &view)
+{
+    std::vector<Member> members;
+    for (const auto &[name, entry] : view.nodes) {
+        const auto &announcement = entry.announcement;
+        if (announcement.role != NodeRole::Balancer || announcement.state == NodeState::Down) {
+            continue;
+        }
+        members.push_back({labelOf(announcement.zone, name), name, announcement.control});
+    }
+    std::sort(members.begin(), members.end());
+    return members;
+}
+
+std::vector<std::size_t> assignedMembers(std::size_t members, const std::string &agent, std::size_t count)
+{
+    std::vector<std::size_t> assigned;
+    if (members <= count) {
+        for (std::size_t i = 0; i < members; ++i) {
+            assigned.push_back(i);
+        }
+        return assigned;
+    }
+    for (std::uint64_t seed = 0; assigned.size() < count; ++seed) {
+        const auto index = XXH3_64bits_withSeed(agent.data(), agent.size(), seed) % members;
+        if (std::find(assigned.begin(), assigned.end(), index) == assigned.end()) {
+            assigned.push_back(index);
+        }
+    }
+    return assigned;
+}
+
+bool isPlatformWatcher(std::span<const Member> members, const std::string &zone, const std::string &name,
+                       std::size_t watchersPerZone)
+{
+    const auto own = labelOf(zone, name);
+    const auto zoneFirst = own >> (64 - zoneBits) << (64 - zoneBits);
+    const auto first = std::lower_bound(members.begin(), members.end(), zoneFirst,
+                                        [](const Member &member, std::uint64_t label) {
+                                            return member.label < label;
+                                        });
+    const auto self = std::lower_bound(
+        first, members.end(), own,
+        [](const Member &member, std::uint64_t label) { return member.label < label; });
+    return static_cast<std::size_t>(self - first) < watchersPerZone;
+}
+
+std::vector<std::size_t> hypercubeNeighbours(std::span<const std::uint64_t> labels, std::size_t self)
+{
+    std::vector<std::size_t> neighbours;
+    if (labels.size() <= fullMeshLimit) {
+        for (std::size_t i = 0; i < labels.size(); ++i) {
+            if (i != self) {
+                neighbours.push_back(i);
+            }
+        }
+        return neighbours;
+    }
+    // Halves the range that shares a prefix with this label; the closest node of each other half is a
+    // neighbour.
+    const auto own = labels[self];
+    std::size_t first = 0;
+    std::size_t last = labels.size();
+    for (int bit = 63; bit >= 0 && last - first > 1; --bit) {
+        const auto mask = std::uint64_t{1} << bit;
+        const auto begin = labels.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = labels.begin() + static_cast<std::ptrdiff_t>(last);
+        const auto split = static_cast<std::size_t>(
+            std::partition_point(begin, end, [&](std::uint64_t label) { return (label & mask) == 0; })
+            - labels.begin());
+        const bool upper = (own & mask) != 0;
+        auto otherFirst = upper ? first : split;
+        auto otherLast = upper ? split : last;
+        (upper ? first : last) = split;
+        if (otherFirst == otherLast) {
+            continue;
+        }
+        const auto wanted = own ^ mask;
+        for (int low = bit - 1; low >= 0 && otherLast - otherFirst > 1; --low) {
+            const auto lowMask = std::uint64_t{1} << low;
+            const auto middle = static_cast<std::size_t>(
+                std::partition_point(labels.begin() + static_cast<std::ptrdiff_t>(otherFirst),
+                                     labels.begin() + static_cast<std::ptrdiff_t>(otherLast),
+                                     [&](std::uint64_t label) { return (label & lowMask) == 0; })
+                - labels.begin());
+            const bool takeUpper = (wanted & lowMask) != 0;
+            const bool upperEmpty = middle == otherLast;
+            const bool lowerEmpty = middle == otherFirst;
+            if (takeUpper ? !upperEmpty : lowerEmpty) {
+                otherFirst = middle;
+            } else {
+                otherLast = middle;
+            }
+        }
+        neighbours.push_back(otherFirst);
+    }
+    return neighbours;
+}
+
+} // namespace oriolelever
