--- a/include/oriolelever/dissem.h
+++ b/include/oriolelever/dissem.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -70,6 +71,12 @@
 
     std::vector<Entry> entries(std::size_t leaf) const;
 
+    /// Versions of deleted rows.
+    const std::map<RecordKey, RecordVersion> &tombstones() const
+    {
+        return m_tombstones;
+    }
+
     std::size_t size() const
     {
         return m_size;
--- a/include/oriolelever/metrics.h
+++ b/include/oriolelever/metrics.h
@@ -12,7 +12,8 @@
 
 /// Holds the registry that every part of the process registers its metrics in; counters are thread-safe.
 ///
-///     auto &family = prometheus::BuildCounter().Name("oriolelever_packets_total").Register(metrics.registry());
+///     auto &family =
+///     prometheus::BuildCounter().Name("oriolelever_packets_total").Register(metrics.registry());
 class Metrics : public Service
 {
 public:
--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -145,8 +145,7 @@
 };
 
 /// Compares the object as read back with the write of `intended` under `change`.
-Resolution resolveUnknown(const Object &intended, const std::string &change,
-                          const Answer<Object> &readBack);
+Resolution resolveUnknown(const Object &intended, const std::string &change, const Answer<Object> &readBack);
 
 /// Writes with a new change identifier. After a lost answer it reads back and, where needed, sends the same
 /// conditional write again, `attempts` times at most; only then it answers `PlatformOutcomeUnknown`. `api`
@@ -226,11 +225,12 @@
     std::uint64_t outcomesUnknown = 0;
 };
 
-/// Object API over HTTP and JSON with time limits, backoff and a call budget. Its transfers run on a thread of
-/// its own.
+/// Object API over HTTP and JSON with time limits, backoff and a call budget. Its transfers run on a thread
+/// of its own.
 ///
 /// The protocol: GET /v1/objects/KIND[/NAME]; PUT and DELETE /v1/objects/KIND/NAME with If-Match: VERSION or
-/// If-None-Match: *; GET /v1/watch?kinds=A,B&after=REVISION&wait_ms=N, which answers 410 after skipped events.
+/// If-None-Match: *; GET /v1/watch?kinds=A,B&after=REVISION&wait_ms=N, which answers 410 after skipped
+/// events.
 class PlatformClient : public Service, public ObjectApi
 {
 public:
--- a/src/dissem.cc
+++ b/src/dissem.cc
@@ -125,8 +125,8 @@
         return nullptr;
     }
     const auto &slots = leaf->second;
-    const auto found =
-        std::find_if(slots.begin(), slots.end(), [&](const Slot &slot) { return slot.key == key; });
+    const auto found
+        = std::find_if(slots.begin(), slots.end(), [&](const Slot &slot) { return slot.key == key; });
     return found == slots.end() ? nullptr : &*found;
 }
 
@@ -154,8 +154,8 @@
                                       : keyOf(m_view, record.key.kind, record.key.name);
     const Slot updated{.key = key, .name = name, .kind = record.key.kind, .deleted = record.deleted};
     auto &slots = m_slots[leafOf(key)];
-    const auto found =
-        std::find_if(slots.begin(), slots.end(), [&](const Slot &slot) { return slot.key == key; });
+    const auto found
+        = std::find_if(slots.begin(), slots.end(), [&](const Slot &slot) { return slot.key == key; });
     if (found != slots.end()) {
         *found = updated;
         return;
@@ -233,8 +233,7 @@
 {
     std::vector<Record> accusations;
     for (const auto &[name, entry] : view.nodes) {
-        const bool lost =
-            entry.announcement.zone == loss.zone && entry.announcement.state != NodeState::Down;
+        const bool lost = entry.announcement.zone == loss.zone && entry.announcement.state != NodeState::Down;
         if (!lost || std::find(loss.alive.begin(), loss.alive.end(), name) != loss.alive.end()) {
             continue;
         }
@@ -272,6 +271,11 @@
     for (const auto &[name, entry] : view.zones) {
         add(RecordKind::Zone, name);
     }
+    for (const auto &[key, version] : table.tombstones()) {
+        if (key.kind == RecordKind::Zone) {
+            add(key.kind, key.name);
+        }
+    }
     for (const auto &[name, entry] : view.nodes) {
         if (entry.announcement.service != service) {
             continue;
@@ -334,13 +338,12 @@
 {
     const auto own = labelOf(zone, name);
     const auto zoneFirst = own >> (64 - zoneBits) << (64 - zoneBits);
-    const auto first = std::lower_bound(members.begin(), members.end(), zoneFirst,
-                                        [](const Member &member, std::uint64_t label) {
-                                            return member.label < label;
-                                        });
-    const auto self = std::lower_bound(
-        first, members.end(), own,
-        [](const Member &member, std::uint64_t label) { return member.label < label; });
+    const auto first
+        = std::lower_bound(members.begin(), members.end(), zoneFirst,
+                           [](const Member &member, std::uint64_t label) { return member.label < label; });
+    const auto self
+        = std::lower_bound(first, members.end(), own,
+                           [](const Member &member, std::uint64_t label) { return member.label < label; });
     return static_cast<std::size_t>(self - first) < watchersPerZone;
 }
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -28,19 +28,19 @@
 
 bool isValid(const proto::ExchangeMessage &message)
 {
-    const bool sizesValid =
-        (message.branches().empty() || message.branches_size() == static_cast<int>(digestBranches))
+    const bool sizesValid
+        = (message.branches().empty() || message.branches_size() == static_cast<int>(digestBranches))
         && message.stage() <= static_cast<std::uint32_t>(ExchangeStage::Records);
     const bool blocksValid = std::all_of(message.blocks().begin(), message.blocks().end(), [](const auto &b) {
         return b.branch() < digestBranches && b.leaves_size() == static_cast<int>(leavesPerBranch);
     });
     const bool leavesValid = std::all_of(message.leaves().begin(), message.leaves().end(),
                                          [](const auto &leaf) { return leaf.leaf() < digestLeaves; });
-    const bool recordsValid =
-        std::all_of(message.records().begin(), message.records().end(), [](const auto &record) {
-            return record.kind() >= static_cast<std::uint32_t>(RecordKind::Service)
-                && record.kind() <= static_cast<std::uint32_t>(RecordKind::Node) && !record.name().empty();
-        });
+    const bool recordsValid
+        = std::all_of(message.records().begin(), message.records().end(), [](const auto &record) {
+              return record.kind() >= static_cast<std::uint32_t>(RecordKind::Service)
+                  && record.kind() <= static_cast<std::uint32_t>(RecordKind::Node) && !record.name().empty();
+          });
     return sizesValid && blocksValid && leavesValid && recordsValid;
 }
 
@@ -56,8 +56,8 @@
 {
     const auto ours = table.entries(theirs.leaf);
     const auto versionIn = [](const std::vector<RecordTable::Entry> &entries, std::uint64_t key) {
-        const auto found =
-            std::find_if(entries.begin(), entries.end(), [&](const auto &entry) { return entry.key == key; });
+        const auto found = std::find_if(entries.begin(), entries.end(),
+                                        [&](const auto &entry) { return entry.key == key; });
         return found == entries.end() ? RecordVersion{} : found->version;
     };
     for (const auto &entry : ours) {
