--- a/include/oriolelever/dissem.h
+++ b/include/oriolelever/dissem.h
@@ -189,6 +189,7 @@
     std::uint64_t label = 0;
     std::string name;
     Endpoint control;
+    Incarnation incarnation = 0;
 
     auto operator<=>(const Member &) const = default;
 };
--- a/include/oriolelever/records.h
+++ b/include/oriolelever/records.h
@@ -94,6 +94,9 @@
     /// Asks every live node whether it has `version` of `key` or a later one in force.
     void inForce(const RecordKey &key, const RecordVersion &version, std::function<void(ForceReport)> done);
 
+    /// Exchanges records with a process, as with a seed.
+    void meet(const Endpoint &peer);
+
     /// True when a later start of this process's name was found at another address; it no longer announces.
     bool replaced() const
     {
--- a/src/dissem.cc
+++ b/src/dissem.cc
@@ -309,7 +309,8 @@
         if (announcement.role != NodeRole::Balancer || announcement.state == NodeState::Down) {
             continue;
         }
-        members.push_back({labelOf(announcement.zone, name), name, announcement.control});
+        members.push_back(
+            {labelOf(announcement.zone, name), name, announcement.control, announcement.incarnation});
     }
     std::sort(members.begin(), members.end());
     return members;
--- a/src/records.cc
+++ b/src/records.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t smallFleet = 32; ///< Members up to which exchanges run at the full rate.
 constexpr int largeFleetFactor = 5;
 constexpr unsigned downPeerShare = 8; ///< One exchange in this many goes to a node that is down.
+constexpr std::chrono::milliseconds lastPushTime{200}; ///< For the last announcement to leave.
 constexpr std::chrono::seconds attachmentLimit{30}; ///< An agent not heard for this long is detached.
 
 const Log &recordsLog()
@@ -71,15 +72,21 @@
                    [this](const std::string &body, const Streams::Reply &reply) { serveForce(body, reply); });
     startWatch();
     for (const auto &seed : m_options.seeds) {
-        exchangeWith(seed, openScoped(), maxMessagesPerExchange);
+        meet(seed);
     }
     scheduleExchange();
 }
 
+void Records::meet(const Endpoint &peer)
+{
+    exchangeWith(peer, openScoped(), maxMessagesPerExchange);
+}
+
 void Records::drain(std::function<void()> done)
 {
     push();
-    done();
+    m_exchangeTimer->expires_after(lastPushTime);
+    m_exchangeTimer->async_wait([done = std::move(done)](const asio::error_code &) { done(); });
 }
 
 void Records::stop()
