--- a/lab/commands.h
+++ b/lab/commands.h
@@ -10,4 +10,11 @@
 /// Stand-in of the platform's object API.
 Command platformCommand();
 
+/// Writes a trace of a case and a deployment.
+Command traceCommand();
+/// Replays traces against their stated outcomes.
+Command replayCommand();
+/// Replays many seeds of one case.
+Command sweepCommand();
+
 } // namespace oriolelever::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -7,6 +7,9 @@
     const auto commands = std::to_array<oriolelever::Command>({
         oriolelever::lab::platformCommand(),
         oriolelever::lab::summaryCommand(),
+        oriolelever::lab::traceCommand(),
+        oriolelever::lab::replayCommand(),
+        oriolelever::lab::sweepCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
--- a/lab/replay.cc
+++ b/lab/replay.cc
@@ -148,7 +148,8 @@
 {
     const double seconds = std::chrono::duration<double>(world.trace.length).count();
     for (const auto &balancer : world.balancers) {
-        world.figures.balancerBytes += balancer.controlBytes / seconds / static_cast<double>(world.balancers.size());
+        world.figures.balancerBytes
+            += balancer.controlBytes / seconds / static_cast<double>(world.balancers.size());
     }
     std::size_t state = 0;
     std::size_t flows = 0;
@@ -206,7 +207,9 @@
 
 std::map<std::string, double> namedFigures(const ReplayFigures &figures)
 {
-    const auto count = [](std::uint64_t value) { return static_cast<double>(value); };
+    const auto count = [](std::uint64_t value) {
+        return static_cast<double>(value);
+    };
     return {
         {"flows opened", count(figures.flowsOpened)},
         {"flows broken by planned change", count(figures.brokenByChange)},
--- a/lab/trace-cases.cc
+++ b/lab/trace-cases.cc
@@ -80,7 +80,8 @@
     }
 };
 
-void addServers(Maker &maker, const std::string &service, const std::string &prefix, int count, std::size_t firstZone)
+void addServers(Maker &maker, const std::string &service, const std::string &prefix, int count,
+                std::size_t firstZone)
 {
     for (int i = 0; i < count; ++i) {
         const auto zone = (firstZone + static_cast<std::size_t>(i)) % maker.trace.zones.size();
@@ -113,7 +114,8 @@
     trace.delay = std::chrono::microseconds(1000);
     trace.zones = {"ost-a", "ost-b", "ost-c"};
     addBalancers(maker, 3);
-    trace.services.push_back({.name = "vessel-track", .limit = 400, .nominal = 120, .ramp = milliseconds(5000)});
+    trace.services.push_back(
+        {.name = "vessel-track", .limit = 400, .nominal = 120, .ramp = milliseconds(5000)});
     trace.services.push_back({.name = "wx-brief",
                               .protocol = Protocol::Udp,
                               .limit = 300,
@@ -123,7 +125,8 @@
     addServers(maker, "wx-brief", "weather", 3, 0);
 }
 
-// A slice: the ratio of servers to services and of nodes to servers, 13 zones, and one service beyond 64 servers.
+// A slice: the ratio of servers to services and of nodes to servers, 13 zones, and one service beyond 64
+// servers.
 void makeLarge(Maker &maker)
 {
     constexpr int smallServices = 22;
@@ -144,8 +147,9 @@
 
 std::size_t serversOf(const Trace &trace, const std::string &service)
 {
-    return static_cast<std::size_t>(std::count_if(trace.servers.begin(), trace.servers.end(),
-                                                  [&](const TraceServer &s) { return s.service == service; }));
+    return static_cast<std::size_t>(
+        std::count_if(trace.servers.begin(), trace.servers.end(),
+                      [&](const TraceServer &s) { return s.service == service; }));
 }
 
 void addFlow(Maker &maker, const TraceService &service, Duration at, Duration life)
@@ -166,7 +170,8 @@
 // Long flows are open from the start to the end, or for `longLife`; short ones come and go.
 void addFlows(Maker &maker, const TraceService &service)
 {
-    const double target = static_cast<double>(service.nominal) * static_cast<double>(serversOf(maker.trace, service.name));
+    const double target
+        = static_cast<double>(service.nominal) * static_cast<double>(serversOf(maker.trace, service.name));
     const double meanLife = (1 - longShare) * std::chrono::duration<double>(shortLife).count()
         + longShare * std::chrono::duration<double>(longLife).count();
     const double rate = target / meanLife;
@@ -181,7 +186,8 @@
     for (auto at = maker.exponential(gap); at < maker.trace.length; at += maker.exponential(gap)) {
         const bool isLong = maker.below(1000) < static_cast<std::uint64_t>(longShare * 1000);
         const auto life = isLong ? longLife : maker.exponential(shortLife);
-        addFlow(maker, service, at, std::max<Duration>(milliseconds(200), std::min<Duration>(life, longLife)));
+        addFlow(maker, service, at,
+                std::max<Duration>(milliseconds(200), std::min<Duration>(life, longLife)));
     }
 }
 
@@ -257,7 +263,8 @@
     } else if (name == "uneven") {
         addRolling(maker, from, spread);
         addZoneOutAndReturn(maker, anyZone(maker), from + milliseconds(9000), milliseconds(6000), zoneReach);
-        maker.add(from + milliseconds(20000), EventKind::Move, maker.anyServer(), maker.trace.services.back().name);
+        maker.add(from + milliseconds(20000), EventKind::Move, maker.anyServer(),
+                  maker.trace.services.back().name);
     } else if (name == "store") {
         addStore(maker, from);
     } else if (name == "lease") {
@@ -266,7 +273,8 @@
         for (int round = 0; round < 2; ++round) {
             const auto at = from + milliseconds(20000) * round;
             addRolling(maker, at, spread);
-            addZoneOutAndReturn(maker, anyZone(maker), at + milliseconds(2000), milliseconds(3000), zoneReach);
+            addZoneOutAndReturn(maker, anyZone(maker), at + milliseconds(2000), milliseconds(3000),
+                                zoneReach);
             addZoneOutAndReturn(maker, anyZone(maker), at + milliseconds(4000), milliseconds(600), zoneReach);
             addLease(maker, at);
             const auto victim = maker.anyServer();
@@ -300,7 +308,8 @@
 Result<Trace> makeTrace(const TraceOptions &options)
 {
     if (std::find(caseNames.begin(), caseNames.end(), options.caseName) == caseNames.end()) {
-        return fail(Code::UsageInvalid, fmt::format("flag \"--case\" does not allow \"{}\"", options.caseName));
+        return fail(Code::UsageInvalid,
+                    fmt::format("flag \"--case\" does not allow \"{}\"", options.caseName));
     }
     Maker maker;
     maker.trace.caseName = options.caseName;
@@ -314,10 +323,12 @@
     } else if (options.deployment == "large") {
         makeLarge(maker);
     } else {
-        return fail(Code::UsageInvalid, fmt::format("flag \"--deployment\" does not allow \"{}\"", options.deployment));
+        return fail(Code::UsageInvalid,
+                    fmt::format("flag \"--deployment\" does not allow \"{}\"", options.deployment));
     }
     const bool large = options.deployment == "large";
-    const bool longCase = options.caseName == "rolling" || options.caseName == "uneven" || options.caseName == "storm";
+    const bool longCase
+        = options.caseName == "rolling" || options.caseName == "uneven" || options.caseName == "storm";
     maker.trace.length = milliseconds(longCase ? 56000 : (options.caseName == "steady" ? 25000 : 38000));
     maker.trace.length = large ? maker.trace.length * 3 / 4 : maker.trace.length;
     maker.trace.loss = 0.001;
--- a/lab/trace.cc
+++ b/lab/trace.cc
@@ -133,7 +133,8 @@
 {
     Event event{.at = std::chrono::microseconds(words.number<std::int64_t>())};
     const auto word = words.text();
-    const auto row = std::find_if(kinds.begin(), kinds.end(), [&](const KindRow &r) { return r.word == word; });
+    const auto row
+        = std::find_if(kinds.begin(), kinds.end(), [&](const KindRow &r) { return r.word == word; });
     if (row == kinds.end()) {
         words.reject(word);
         return event;
@@ -307,7 +308,8 @@
     case EventKind::RestartBalancer:
         return containsName(trace.balancers, event.name) ? "" : event.name;
     case EventKind::Move:
-        return contains(trace.services, event.other) && contains(trace.servers, event.name) ? "" : event.other;
+        return contains(trace.services, event.other) && contains(trace.servers, event.name) ? ""
+                                                                                            : event.other;
     case EventKind::StoreDown:
     case EventKind::StoreUp:
     case EventKind::StoreAnswerLost:
@@ -325,8 +327,8 @@
         "case {}\ndeployment {}\nseed {}\nlength-ms {}\ndelay-us {}\njitter-us {}\ncaller-delay-us {}\n"
         "spread-ms {}\ndetection-ms {}\nloss {}\ndoubled {}\n",
         trace.caseName, trace.deployment, trace.seed, trace.length.count(), trace.delay.count(),
-        trace.jitter.count(), trace.callerDelay.count(), trace.spread.count(), trace.detection.count(), trace.loss,
-        trace.doubled);
+        trace.jitter.count(), trace.callerDelay.count(), trace.spread.count(), trace.detection.count(),
+        trace.loss, trace.doubled);
     for (const auto &name : trace.balancers) {
         out += fmt::format("balancer {}\n", name);
     }
@@ -368,11 +370,13 @@
             fault = unknownName(trace, trace.events.back());
         }
         if (!fault.empty()) {
-            return fail(Code::TableInvalid, fmt::format("{}:{}: \"{}\" is not allowed here", file, number, fault));
+            return fail(Code::TableInvalid,
+                        fmt::format("{}:{}: \"{}\" is not allowed here", file, number, fault));
         }
     }
     if (trace.services.empty() || trace.servers.empty() || trace.balancers.empty()) {
-        return fail(Code::TableInvalid, fmt::format("{}:0: services, servers and balancers are required", file));
+        return fail(Code::TableInvalid,
+                    fmt::format("{}:0: services, servers and balancers are required", file));
     }
     std::stable_sort(trace.events.begin(), trace.events.end(),
                      [](const Event &a, const Event &b) { return a.at < b.at; });
--- a/lab/world-callers.cc
+++ b/lab/world-callers.cc
@@ -11,7 +11,8 @@
 constexpr Duration openLimit = std::chrono::seconds(3);
 constexpr double coldMargin = 2.0; ///< A server bears this times its share of the usual flows.
 constexpr double coldFloor = 10; ///< Flows that any cold server bears.
-constexpr Duration noticeTime = std::chrono::milliseconds(1000); ///< Within which a server that turned cold is spared.
+constexpr Duration noticeTime
+    = std::chrono::milliseconds(1000); ///< Within which a server that turned cold is spared.
 constexpr double smallestMean = 45; ///< Open flows per server below which imbalance says nothing.
 
 const TraceService &serviceOf(const World &world, const LabFlow &flow)
@@ -76,8 +77,8 @@
 {
     flow.offered = true;
     flow.offeredAt = world.now;
-    flow.countable = someServerMayTake(world, flow.service)
-        && world.now + openLimit < TimePoint{} + world.trace.length;
+    flow.countable
+        = someServerMayTake(world, flow.service) && world.now + openLimit < TimePoint{} + world.trace.length;
     flow.aroundZone = flow.countable && world.now < world.zoneBusyUntil;
     world.figures.offered += flow.countable ? 1 : 0;
     world.figures.offeredAroundZone += flow.aroundZone ? 1 : 0;
@@ -127,8 +128,8 @@
     const double bears = std::max(coldFloor, coldMargin * warmth * service->nominal);
     const bool noticed = host.coldByStart || world.now - host.coldAt > noticeTime;
     host.sinceCold += noticed ? 1 : 0;
-    const double load = host.coldByStart ? static_cast<double>(host.flows.size())
-                                         : static_cast<double>(host.sinceCold);
+    const double load
+        = host.coldByStart ? static_cast<double>(host.flows.size()) : static_cast<double>(host.sinceCold);
     world.figures.overCold += noticed && load > bears ? 1 : 0;
 }
 
--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -21,7 +21,8 @@
 Endpoint serviceEndpoint(std::size_t index)
 {
     Endpoint out{.port = 443};
-    out.address.bytes = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 10, 2, 0, static_cast<std::uint8_t>(index + 1)};
+    out.address.bytes
+        = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 10, 2, 0, static_cast<std::uint8_t>(index + 1)};
     return out;
 }
 
@@ -144,9 +145,20 @@
     host.held.clear();
 }
 
+Record makeRecord(RecordKind kind, const std::string &name, const RecordVersion &version,
+                  const std::string &value)
+{
+    Record record;
+    record.key.kind = kind;
+    record.key.name = name;
+    record.version = version;
+    record.value = value;
+    return record;
+}
+
 Record rowRecord(RecordKind kind, const std::string &name, const std::string &json)
 {
-    return {.key = {kind, name}, .version = {0, 1}, .value = json};
+    return makeRecord(kind, name, {0, 1}, json);
 }
 
 void buildRows(World &world)
@@ -192,7 +204,8 @@
     const RecordVersion version{0, ++world.nextVersion};
     if (event.kind == EventKind::Drain || event.kind == EventKind::Undrain) {
         const ServerOrder order{.name = event.name, .drain = event.kind == EventKind::Drain};
-        return {.key = {RecordKind::Server, event.name}, .version = version, .value = encodeServerOrder(order)};
+        return {
+            .key = {RecordKind::Server, event.name}, .version = version, .value = encodeServerOrder(order)};
     }
     const auto state = event.kind == EventKind::ZoneOut ? ZoneState::Out : ZoneState::In;
     const ZoneRow row{.name = event.name, .state = state};
@@ -207,7 +220,8 @@
     if (zone.out) {
         zone.lastOutAt = world.now;
     }
-    world.zoneBusyUntil = world.now + (zone.out ? Duration(world.trace.length) : Duration(ZoneRow{}.rampTime));
+    world.zoneBusyUntil
+        = world.now + (zone.out ? Duration(world.trace.length) : Duration(ZoneRow{}.rampTime));
 }
 
 } // namespace
@@ -291,7 +305,8 @@
     const auto &peer = world.balancers[world.random() % world.balancers.size()].records.view;
     host.records.view = peer;
     takeRecords(world, host.records, {});
-    host.records.routing = updateRouting(host.records.builder, host.records.view, allRecords(world), world.now);
+    host.records.routing
+        = updateRouting(host.records.builder, host.records.view, allRecords(world), world.now);
     startDirectory(world, host, !serverToo);
     announce(world, host, serverToo ? NodeState::Cold : NodeState::Ready);
     world.after(catchUpTime, [&world, index] {
@@ -312,9 +327,8 @@
     balancer.paused = false;
     balancer.waiting.clear();
     ++balancer.life;
-    world.after(catchUpTime, [&world, index] {
-        takeRecords(world, world.balancers[index].records, allRecords(world));
-    });
+    world.after(catchUpTime,
+                [&world, index] { takeRecords(world, world.balancers[index].records, allRecords(world)); });
 }
 
 void crashHost(World &world, std::size_t index)
@@ -395,13 +409,19 @@
 
 void refreshBalancer(World &world, std::size_t index, std::size_t host)
 {
-    const auto &view = world.hosts[host].records.view;
+    const auto &teller = world.hosts[host];
+    const auto &view = teller.records.view;
     std::vector<Record> records;
-    for (const auto &[key, record] : world.records) {
-        const auto node = view.nodes.find(key.name);
-        const bool ofService = node != view.nodes.end() && node->second.announcement.service == world.hosts[host].service;
-        if (ofService && node->second.version == record.version && key.kind == RecordKind::Node) {
-            records.push_back(record);
+    for (const auto &[name, entry] : view.nodes) {
+        if (entry.announcement.service != teller.service && name != teller.name) {
+            continue;
+        }
+        records.push_back(
+            makeRecord(RecordKind::Node, name, entry.version, encodeAnnouncement(entry.announcement)));
+        const auto order = view.orders.find(name);
+        if (order != view.orders.end()) {
+            const auto json = encodeServerOrder(order->second.order);
+            records.push_back(makeRecord(RecordKind::Server, name, order->second.version, json));
         }
     }
     auto &balancer = world.balancers[index];
--- a/lab/world-packets.cc
+++ b/lab/world-packets.cc
@@ -112,7 +112,8 @@
 {
     const auto target = world.hostByEndpoint.find(outgoing.endpoint);
     auto &host = world.hosts[from];
-    host.controlBytes += static_cast<double>(encodeDirectoryMessage(outgoing.message).size()) + datagramOverhead;
+    host.controlBytes
+        += static_cast<double>(encodeDirectoryMessage(outgoing.message).size()) + datagramOverhead;
     if (target == world.hostByEndpoint.end() || world.chance(world.trace.loss)) {
         return;
     }
