--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -116,6 +116,16 @@
     bool operator==(const AnswerMessage &) const = default;
 };
 
+/// Flows of the sender's server, kept by a peer in case the sender's process starts anew.
+struct CopyMessage
+{
+    std::uint64_t sequence = 0;
+    bool answer = false; ///< The receiver of a copy has it.
+    std::vector<Endpoint> callers; ///< Flows of the sender's server.
+
+    bool operator==(const CopyMessage &) const = default;
+};
+
 /// What a server bears, for the choice of a server.
 struct LoadMessage
 {
@@ -135,7 +145,7 @@
     bool operator==(const GoneMessage &) const = default;
 };
 
-enum class DirectoryMessageKind : std::uint8_t { Ask = 1, Answer = 2, Load = 3, Gone = 4 };
+enum class DirectoryMessageKind : std::uint8_t { Ask = 1, Answer = 2, Load = 3, Gone = 4, Copy = 5 };
 
 /// One datagram between agents of a service; `kind` says which part is set. May be lost, doubled and late.
 struct DirectoryMessage
@@ -150,6 +160,7 @@
     AnswerMessage answer;
     LoadMessage load;
     GoneMessage gone;
+    CopyMessage copy;
 
     bool operator==(const DirectoryMessage &) const = default;
 };
@@ -196,8 +207,11 @@
     Duration idleTime = std::chrono::hours(2); ///< A flow without packets is freed after this.
     Duration udpIdleTime = std::chrono::minutes(3); ///< The same for UDP.
     Duration closeTime = std::chrono::seconds(60); ///< A flow that began to close is freed after this.
-    Duration leaseTime
-        = std::chrono::seconds(2); ///< A longer pause makes the agent ask for its buckets again.
+    /// A longer pause makes the agent ask for its buckets again; must be shorter than the time in which the
+    /// members find a node dead.
+    Duration leaseTime = std::chrono::milliseconds(400);
+    Duration verifyTime = std::chrono::seconds(1); ///< Peers are asked again before a reset after this.
+    Duration copyInterval = std::chrono::minutes(10); ///< Between full copies of the local flows.
     Duration deadGrace = std::chrono::seconds(15); ///< Unknown flows of a lately dead owner are not reset.
     bool warm = false; ///< The server is warm at start.
 };
@@ -250,6 +264,17 @@
     TimePoint lostAt; ///< When the roster last lost it.
 };
 
+/// Copies of the local flows at another agent.
+struct CopyState
+{
+    ServerId keeper; ///< The agent that keeps them.
+    std::deque<Endpoint> waiting;
+    std::vector<Endpoint> sent; ///< Not yet answered.
+    std::uint64_t sequence = 0;
+    TimePoint sentAt;
+    TimePoint completeAt; ///< When a full copy was last begun.
+};
+
 struct HeldPacket
 {
     std::uint64_t number = 0;
@@ -280,8 +305,10 @@
     std::uint64_t nextHeld = 1;
     std::vector<std::uint32_t> missing; ///< By bucket: reachable peers that have not granted it.
     std::vector<TimePoint> ownerDiedAt; ///< By bucket: when its former owner was found dead.
+    std::vector<TimePoint> verifiedAt; ///< By bucket: when all peers were last asked before a reset.
     std::vector<ServerId> formerOwner; ///< By bucket: the owner before the last change.
     std::uint32_t localFlows = 0; ///< Flows of the local server.
+    CopyState copy;
     Warmth warmth;
     Pace pace;
     std::mt19937_64 random;
@@ -292,6 +319,7 @@
     std::size_t loadCursor = 0;
     bool started = false;
     bool recovering = true; ///< The server may have flows that this process does not know.
+    bool recovered = false; ///< Every peer has told which flows the server has.
     DirectoryCounters counters;
     std::vector<Candidate> candidates; ///< Scratch.
     std::vector<ServerId> candidateIds; ///< Scratch.
@@ -318,6 +346,8 @@
 
 /// The agent may place new flows of the bucket: it owns it and every reachable peer has granted it.
 bool mayPlace(const Directory &directory, BucketIndex bucket);
+/// Every flow of the local server is known to another agent, so that the process can be replaced.
+bool isCopied(const Directory &directory);
 /// Flows that the local server bears now.
 std::uint32_t localLimit(const Directory &directory);
 /// Bytes of the directory, for capacity planning.
--- a/src/directory-codec.cc
+++ b/src/directory-codec.cc
@@ -89,6 +89,15 @@
     }
 }
 
+void putCopy(const CopyMessage &copy, proto::CopyPart &out)
+{
+    out.set_sequence(copy.sequence);
+    out.set_answer(copy.answer);
+    for (const auto &caller : copy.callers) {
+        out.add_callers(encodeCaller(caller));
+    }
+}
+
 Result<BucketIndex> decodeBucket(std::uint32_t bucket, std::uint32_t bucketCount)
 {
     if (bucket >= bucketCount || bucketCount > largeBucketCount) {
@@ -160,17 +169,23 @@
             .lostBuckets = part.lost_buckets()};
 }
 
-Result<GoneMessage> takeGone(const proto::GonePart &part)
+Result<std::vector<Endpoint>> takeCallers(const google::protobuf::RepeatedPtrField<std::string> &texts)
 {
-    GoneMessage out;
-    out.callers.reserve(part.callers_size());
-    for (const auto &text : part.callers()) {
+    std::vector<Endpoint> out;
+    out.reserve(texts.size());
+    for (const auto &text : texts) {
         BOOST_LEAF_AUTO(caller, decodeCaller(text));
-        out.callers.push_back(caller);
+        out.push_back(caller);
     }
     return out;
 }
 
+Result<CopyMessage> takeCopy(const proto::CopyPart &part)
+{
+    BOOST_LEAF_AUTO(callers, takeCallers(part.callers()));
+    return CopyMessage{.sequence = part.sequence(), .answer = part.answer(), .callers = std::move(callers)};
+}
+
 Result<void> takePart(const proto::DirectoryDatagram &datagram, DirectoryMessage &out)
 {
     switch (datagram.part_case()) {
@@ -190,7 +205,12 @@
         return {};
     case proto::DirectoryDatagram::kGone: {
         out.kind = DirectoryMessageKind::Gone;
-        BOOST_LEAF_ASSIGN(out.gone, takeGone(datagram.gone()));
+        BOOST_LEAF_ASSIGN(out.gone.callers, takeCallers(datagram.gone().callers()));
+        return {};
+    }
+    case proto::DirectoryDatagram::kCopy: {
+        out.kind = DirectoryMessageKind::Copy;
+        BOOST_LEAF_ASSIGN(out.copy, takeCopy(datagram.copy()));
         return {};
     }
     case proto::DirectoryDatagram::PART_NOT_SET:
@@ -229,6 +249,9 @@
             datagram.mutable_gone()->add_callers(encodeCaller(caller));
         }
         break;
+    case DirectoryMessageKind::Copy:
+        putCopy(message.copy, *datagram.mutable_copy());
+        break;
     }
     return datagram.SerializeAsString();
 }
--- a/src/directory-detail.h
+++ b/src/directory-detail.h
@@ -19,12 +19,20 @@
 void uncountFlow(Directory &directory, const FlowEntry &entry);
 
 void setGranted(Directory &directory, PeerState &peer, BucketIndex bucket, bool granted);
+/// Another agent may place flows of the bucket from now on, so nothing that is known of it is complete.
+void forgetBucket(Directory &directory, BucketIndex bucket);
+/// Asks all peers for the bucket again; true while some have not answered.
+bool isVerifying(Directory &directory, BucketIndex bucket);
+void startVerifying(Directory &directory, BucketIndex bucket);
 /// Gives up every grant and asks again for the buckets that it owns.
 void dropGrants(Directory &directory);
 /// Opens questions to `peer` about the owned buckets that it has not granted.
 void openAsks(Directory &directory, PeerState &peer);
 /// Sends the next attempt of the open questions to `peer` if its time has come.
 void sendAsk(Directory &directory, ServerId id, PeerState &peer, TimePoint now, Effects &effects);
+/// Sends the next copies of local flows to the agent that keeps them.
+void sendCopies(Directory &directory, TimePoint now, Effects &effects);
+void takeCopy(Directory &directory, ServerId from, const CopyMessage &copy, TimePoint now, Effects &effects);
 void sendLoad(Directory &directory, ServerId id, bool lostBuckets, Effects &effects);
 void sendMessage(Directory &directory, ServerId id, DirectoryMessage message, Effects &effects);
 /// The verdict on a packet of this agent's service.
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -28,22 +28,15 @@
 // the smaller id while neither holds the other's.
 bool shouldGrant(const Directory &directory, ServerId id, const PeerState &peer, BucketIndex bucket)
 {
+    if (directory.recovering && !directory.recovered) {
+        return false;
+    }
     if (!ownsBucket(directory, bucket)) {
         return true;
     }
     return !peer.granted[bucket] && !wins(directory, id);
 }
 
-void grantAway(Directory &directory, PeerState &peer, BucketIndex bucket)
-{
-    setGranted(directory, peer, bucket, false);
-    if (ownsBucket(directory, bucket)) {
-        peer.asking[bucket] = {};
-    } else {
-        peer.asking.erase(bucket);
-    }
-}
-
 NotesByBucket collectNotes(Directory &directory, ServerId asker, const std::vector<bool> &granted,
                            const std::vector<bool> &asked, bool recovers)
 {
@@ -132,7 +125,7 @@
         asked[bucket] = true;
         granted[bucket] = shouldGrant(directory, from, peer, bucket);
         if (granted[bucket]) {
-            grantAway(directory, peer, bucket);
+            forgetBucket(directory, bucket);
         }
     }
     const auto notes = collectNotes(directory, from, granted, asked, ask.recovers);
@@ -180,11 +173,21 @@
         peer.asking.erase(open);
     } else if (ownsBucket(directory, section.bucket)) {
         open->second.denied = true;
+        setGranted(directory, peer, section.bucket, false);
     } else {
         peer.asking.erase(open);
     }
 }
 
+// Every reachable peer has answered every question at least once.
+bool heardAll(const Directory &directory)
+{
+    return std::all_of(directory.peers.begin(), directory.peers.end(), [](const auto &item) {
+        const auto &asking = item.second.asking;
+        return std::all_of(asking.begin(), asking.end(), [](const auto &open) { return open.second.denied; });
+    });
+}
+
 void takeAnswer(Directory &directory, ServerId from, PeerState &peer, const AnswerMessage &answer,
                 TimePoint now, Effects &effects)
 {
@@ -194,6 +197,7 @@
     for (const auto &section : answer.buckets) {
         takeSection(directory, peer, answer.sequence, section, now);
     }
+    directory.recovered = directory.recovered || heardAll(directory);
     const bool allTold = std::all_of(peer.asking.begin(), peer.asking.end(),
                                      [](const auto &item) { return item.second.sequence == 0; });
     if (allTold && !peer.asking.empty()) {
@@ -245,10 +249,7 @@
     }
     if (message.generation > peer.heardGeneration) {
         peer.heardGeneration = message.generation;
-        for (std::size_t bucket = 0; bucket < peer.granted.size(); ++bucket) {
-            setGranted(directory, peer, static_cast<BucketIndex>(bucket), false);
-        }
-        openAsks(directory, peer);
+        dropGrants(directory);
     }
     return true;
 }
@@ -275,6 +276,34 @@
     }
 }
 
+void forgetBucket(Directory &directory, BucketIndex bucket)
+{
+    const bool owned = ownsBucket(directory, bucket);
+    for (auto &[id, peer] : directory.peers) {
+        setGranted(directory, peer, bucket, false);
+        peer.asking.erase(bucket);
+        if (owned && peer.reachable) {
+            peer.asking[bucket] = {};
+            peer.askWait = Duration{0};
+        }
+    }
+}
+
+bool isVerifying(Directory &directory, BucketIndex bucket)
+{
+    return std::any_of(directory.peers.begin(), directory.peers.end(),
+                       [&](const auto &item) { return item.second.asking.contains(bucket); });
+}
+
+void startVerifying(Directory &directory, BucketIndex bucket)
+{
+    for (auto &[id, peer] : directory.peers) {
+        if (peer.reachable && peer.asking.try_emplace(bucket).second) {
+            peer.askWait = Duration{0};
+        }
+    }
+}
+
 void openAsks(Directory &directory, PeerState &peer)
 {
     if (!peer.reachable) {
@@ -370,6 +399,9 @@
     case DirectoryMessageKind::Gone:
         detail::takeGone(directory, from, message.gone);
         break;
+    case DirectoryMessageKind::Copy:
+        detail::takeCopy(directory, from, message.copy, now, effects);
+        break;
     }
 }
 
--- a/src/directory-packets.cc
+++ b/src/directory-packets.cc
@@ -80,6 +80,7 @@
 {
     putFlow(directory, packet.flow.caller, directory.options.self, true, now);
     notePacket(directory, directory.flows[packet.flow.caller], packet, now);
+    directory.copy.waiting.push_back(packet.flow.caller);
     return deliver(directory);
 }
 
@@ -197,7 +198,11 @@
     if (packet.opens) {
         return place(directory, packet, excluded, now);
     }
-    return reset(directory);
+    if (now - directory.verifiedAt[bucket] > directory.options.verifyTime) {
+        directory.verifiedAt[bucket] = now;
+        startVerifying(directory, bucket);
+    }
+    return isVerifying(directory, bucket) ? hold(directory, packet, now) : reset(directory);
 }
 
 // An agent that may still place flows of the bucket, or null.
--- a/src/directory-roster.cc
+++ b/src/directory-roster.cc
@@ -22,6 +22,7 @@
     directory.missing.assign(count, 0);
     directory.ownerDiedAt.assign(count, TimePoint{});
     directory.formerOwner.assign(count, ServerId{});
+    directory.verifiedAt.assign(count, TimePoint{});
     for (auto &[caller, entry] : directory.flows) {
         entry.bucket = flowBucket(directory, caller);
     }
@@ -199,6 +200,8 @@
     if (!directory.started) {
         directory.started = true;
         detail::askForAll(directory);
+        directory.recovered = std::none_of(directory.peers.begin(), directory.peers.end(),
+                                           [](const auto &item) { return !item.second.asking.empty(); });
     }
     for (auto &[id, peer] : directory.peers) {
         detail::openAsks(directory, peer);
--- a/src/directory-tick.cc
+++ b/src/directory-tick.cc
@@ -10,8 +10,7 @@
 namespace {
 
 constexpr Duration sweepInterval = std::chrono::seconds(1);
-constexpr Duration hearsayTime
-    = std::chrono::seconds(60); ///< Life of entries of buckets that were granted away.
+constexpr Duration hearsayTime = std::chrono::minutes(25); ///< Life of copies and of entries granted away.
 constexpr std::size_t goneLimit = 40; ///< Flows in one message.
 
 void sendLoads(Directory &directory, TimePoint now, Effects &effects)
@@ -100,6 +99,7 @@
     }
     detail::sendLoads(directory, now, effects);
     detail::sendGone(directory, effects);
+    detail::sendCopies(directory, now, effects);
     detail::freeSilent(directory, now);
     detail::releaseHeld(directory, now, effects);
 }
