--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -122,6 +122,7 @@
     std::uint64_t sequence = 0;
     bool answer = false; ///< The receiver of a copy has it.
     std::vector<Endpoint> callers; ///< Flows of the sender's server.
+    std::vector<Endpoint> ended; ///< Flows that it no longer has.
 
     bool operator==(const CopyMessage &) const = default;
 };
@@ -210,7 +211,10 @@
     /// A longer pause makes the agent ask for its buckets again; must be shorter than the time in which the
     /// members find a node dead.
     Duration leaseTime = std::chrono::milliseconds(400);
+    Duration lapseTime
+        = std::chrono::milliseconds(100); ///< After such a pause, packets may be old for so long.
     Duration verifyTime = std::chrono::seconds(1); ///< Peers are asked again before a reset after this.
+    Duration copyDelay = std::chrono::milliseconds(100); ///< Longest time until a new flow is copied.
     Duration copyInterval = std::chrono::minutes(10); ///< Between full copies of the local flows.
     Duration deadGrace = std::chrono::seconds(15); ///< Unknown flows of a lately dead owner are not reset.
     bool warm = false; ///< The server is warm at start.
@@ -267,9 +271,15 @@
 /// Copies of the local flows at another agent.
 struct CopyState
 {
+    struct Item
+    {
+        Endpoint caller;
+        bool ended = false;
+    };
+
     ServerId keeper; ///< The agent that keeps them.
-    std::deque<Endpoint> waiting;
-    std::vector<Endpoint> sent; ///< Not yet answered.
+    std::deque<Item> waiting;
+    std::vector<Item> sent; ///< Not yet answered.
     std::uint64_t sequence = 0;
     TimePoint sentAt;
     TimePoint completeAt; ///< When a full copy was last begun.
@@ -313,6 +323,7 @@
     Pace pace;
     std::mt19937_64 random;
     TimePoint lastTick;
+    TimePoint lapsedUntil; ///< Packets that arrive before this may have waited during a pause.
     TimePoint lastLoad;
     TimePoint lastSweep;
     std::vector<Endpoint> gone; ///< Flows of peers' buckets that the local server no longer has.
--- a/src/directory-codec.cc
+++ b/src/directory-codec.cc
@@ -96,6 +96,9 @@
     for (const auto &caller : copy.callers) {
         out.add_callers(encodeCaller(caller));
     }
+    for (const auto &caller : copy.ended) {
+        out.add_ended(encodeCaller(caller));
+    }
 }
 
 Result<BucketIndex> decodeBucket(std::uint32_t bucket, std::uint32_t bucketCount)
@@ -183,7 +186,11 @@
 Result<CopyMessage> takeCopy(const proto::CopyPart &part)
 {
     BOOST_LEAF_AUTO(callers, takeCallers(part.callers()));
-    return CopyMessage{.sequence = part.sequence(), .answer = part.answer(), .callers = std::move(callers)};
+    BOOST_LEAF_AUTO(ended, takeCallers(part.ended()));
+    return CopyMessage{.sequence = part.sequence(),
+                       .answer = part.answer(),
+                       .callers = std::move(callers),
+                       .ended = std::move(ended)};
 }
 
 Result<void> takePart(const proto::DirectoryDatagram &datagram, DirectoryMessage &out)
--- a/src/directory-copies.cc
+++ b/src/directory-copies.cc
@@ -35,8 +35,8 @@
     copy.sent.clear();
     copy.waiting.clear();
     for (const auto &[caller, entry] : directory.flows) {
-        if (entry.holder == directory.options.self) {
-            copy.waiting.push_back(caller);
+        if (entry.holder == directory.options.self && !entry.closing) {
+            copy.waiting.push_back({.caller = caller});
         }
     }
 }
@@ -47,7 +47,9 @@
     copy.sentAt = now;
     DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
     message.copy.sequence = copy.sequence;
-    message.copy.callers = copy.sent;
+    for (const auto &item : copy.sent) {
+        (item.ended ? message.copy.ended : message.copy.callers).push_back(item.caller);
+    }
     sendMessage(directory, copy.keeper, std::move(message), effects);
 }
 
@@ -70,7 +72,8 @@
         }
         return;
     }
-    if (copy.waiting.empty()) {
+    const bool due = copy.waiting.size() >= copyLimit || now - copy.sentAt >= directory.options.copyDelay;
+    if (copy.waiting.empty() || !due) {
         return;
     }
     const auto count = std::min(copyLimit, copy.waiting.size());
@@ -96,6 +99,12 @@
     for (const auto &caller : copy.callers) {
         putFlow(directory, caller, from, true, now);
     }
+    for (const auto &caller : copy.ended) {
+        const auto known = directory.flows.find(caller);
+        if (known != directory.flows.end() && known->second.holder == from) {
+            eraseFlow(directory, caller);
+        }
+    }
     DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
     message.copy.sequence = copy.sequence;
     message.copy.answer = true;
--- a/src/directory-detail.h
+++ b/src/directory-detail.h
@@ -24,6 +24,8 @@
 /// Asks all peers for the bucket again; true while some have not answered.
 bool isVerifying(Directory &directory, BucketIndex bucket);
 void startVerifying(Directory &directory, BucketIndex bucket);
+/// Notices a pause beyond the lease: grants may have passed to others, and waiting packets may be old.
+void checkLease(Directory &directory, TimePoint now);
 /// Gives up every grant and asks again for the buckets that it owns.
 void dropGrants(Directory &directory);
 /// Opens questions to `peer` about the owned buckets that it has not granted.
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -319,6 +319,16 @@
     }
 }
 
+void checkLease(Directory &directory, TimePoint now)
+{
+    if (now - directory.lastTick <= directory.options.leaseTime) {
+        return;
+    }
+    dropGrants(directory);
+    directory.lastTick = now;
+    directory.lapsedUntil = now + directory.options.lapseTime;
+}
+
 void dropGrants(Directory &directory)
 {
     for (auto &[id, peer] : directory.peers) {
@@ -378,10 +388,7 @@
     if (from == directory.options.self) {
         return;
     }
-    if (now - directory.lastTick > directory.options.leaseTime) {
-        detail::dropGrants(directory);
-        directory.lastTick = now;
-    }
+    detail::checkLease(directory, now);
     auto &peer = detail::peerState(directory, from);
     if (!detail::acceptSender(directory, peer, message)) {
         return;
--- a/src/directory-packets.cc
+++ b/src/directory-packets.cc
@@ -60,13 +60,15 @@
 void notePacket(Directory &directory, FlowEntry &entry, const PacketInfo &packet, TimePoint now)
 {
     entry.lastSeen = now;
-    const bool local = entry.holder == directory.options.self;
-    if (packet.closes && !entry.closing) {
-        entry.closing = true;
-        directory.localFlows -= local ? 1 : 0;
-    } else if (packet.opens && entry.closing) {
-        entry.closing = false;
-        directory.localFlows += local ? 1 : 0;
+    const bool ends = packet.closes && !entry.closing;
+    const bool begins = packet.opens && entry.closing;
+    if (!ends && !begins) {
+        return;
+    }
+    entry.closing = ends;
+    if (entry.holder == directory.options.self) {
+        directory.localFlows += begins ? 1 : -1;
+        directory.copy.waiting.push_back({.caller = packet.flow.caller, .ended = ends});
     }
 }
 
@@ -79,8 +81,8 @@
 Verdict takeHere(Directory &directory, const PacketInfo &packet, TimePoint now)
 {
     putFlow(directory, packet.flow.caller, directory.options.self, true, now);
+    directory.copy.waiting.push_back({.caller = packet.flow.caller});
     notePacket(directory, directory.flows[packet.flow.caller], packet, now);
-    directory.copy.waiting.push_back(packet.flow.caller);
     return deliver(directory);
 }
 
@@ -268,7 +270,8 @@
 {
     const bool fromBefore
         = packet.purpose == PacketPurpose::Forward && mayBeLocalFromBefore(directory, packet);
-    if (fromBefore || (packet.opens && localRoom(directory, now))) {
+    const bool mayBeOld = now < directory.lapsedUntil;
+    if (!mayBeOld && (fromBefore || (packet.opens && localRoom(directory, now)))) {
         return takeHere(directory, packet, now);
     }
     const auto *const sender = reachablePeer(directory, packet.fromServer);
@@ -374,10 +377,7 @@
         effects.tellSender = true;
         return;
     }
-    if (now - directory.lastTick > directory.options.leaseTime) {
-        detail::dropGrants(directory);
-        directory.lastTick = now;
-    }
+    detail::checkLease(directory, now);
     const bool stale = directory.route && packet.rosterVersion < directory.route->version;
     const bool otherIncarnation
         = packet.targetIncarnation != 0 && packet.targetIncarnation != directory.options.incarnation;
--- a/src/directory-tick.cc
+++ b/src/directory-tick.cc
@@ -74,6 +74,9 @@
             continue;
         }
         uncountFlow(directory, current->second);
+        if (current->second.holder == directory.options.self && !current->second.closing) {
+            directory.copy.waiting.push_back({.caller = current->first, .ended = true});
+        }
         directory.flows.erase(current);
     }
 }
@@ -85,9 +88,7 @@
 void onTick(Directory &directory, TimePoint now, Effects &effects)
 {
     effects.clear();
-    if (now - directory.lastTick > directory.options.leaseTime) {
-        detail::dropGrants(directory);
-    }
+    detail::checkLease(directory, now);
     directory.lastTick = now;
     if (!directory.route) {
         detail::releaseHeld(directory, now, effects);
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -129,11 +129,13 @@
     if (known == directory.flows.end() || known->second.holder != directory.options.self) {
         return;
     }
-    if (!known->second.closing) {
-        --directory.localFlows;
+    if (known->second.closing) {
+        return;
     }
+    --directory.localFlows;
     known->second.closing = true;
     known->second.lastSeen = now;
+    directory.copy.waiting.push_back({.caller = flow.caller, .ended = true});
     if (directory.route && !detail::ownsBucket(directory, known->second.bucket)) {
         directory.gone.push_back(flow.caller);
     }
