--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -80,6 +80,7 @@
     Endpoint caller;
     ServerId holder;
     bool certain = false; ///< Told by the holder itself.
+    bool closing = false;
 
     bool operator==(const FlowNote &) const = default;
 };
@@ -217,6 +218,7 @@
     Duration copyDelay = std::chrono::milliseconds(100); ///< Longest time until a new flow is copied.
     Duration copyInterval = std::chrono::minutes(10); ///< Between full copies of the local flows.
     Duration deadGrace = std::chrono::seconds(15); ///< Unknown flows of a lately dead owner are not reset.
+    bool serverLivedOn = true; ///< The server may have flows from before this process started.
     bool warm = false; ///< The server is warm at start.
 };
 
--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -51,6 +51,15 @@
     return out;
 }
 
+// The server drops the flows that its agent gives up; their callers learn of it with their next packet.
+void dropGivenUp(LabHost &host)
+{
+    const auto *const own = findServer(*host.directory.route, host.id);
+    if (own != nullptr && own->zoneOut) {
+        host.flows.clear();
+    }
+}
+
 void giveRoster(World &world, std::size_t index)
 {
     auto &host = world.hosts[index];
@@ -63,6 +72,7 @@
         if (found != nullptr && *found != host.directory.route) {
             onRoster(host.directory, *found, world.now, world.effects);
             applyEffects(world, index, nullptr);
+            dropGivenUp(host);
         }
     }
 }
@@ -140,6 +150,7 @@
                                    .service = idOf<ServiceId>(host.service),
                                    .incarnation = host.agentLife,
                                    .seed = world.trace.seed,
+                                   .serverLivedOn = warm,
                                    .warm = warm};
     host.directory = makeDirectory(options, world.now);
     host.held.clear();
--- a/src/directory-codec.cc
+++ b/src/directory-codec.cc
@@ -85,6 +85,7 @@
             flow.set_caller(encodeCaller(note.caller));
             flow.set_holder(holderIndex(out, note.holder));
             flow.set_certain(note.certain);
+            flow.set_closing(note.closing);
         }
     }
 }
@@ -130,7 +131,8 @@
     }
     BOOST_LEAF_AUTO(caller, decodeCaller(message.caller()));
     const ServerId holder{part.holders(static_cast<int>(message.holder()))};
-    return FlowNote{.caller = caller, .holder = holder, .certain = message.certain()};
+    return FlowNote{
+        .caller = caller, .holder = holder, .certain = message.certain(), .closing = message.closing()};
 }
 
 Result<BucketAnswer> takeBucketAnswer(const proto::BucketAnswerPart &section, const proto::AnswerPart &part)
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -47,11 +47,13 @@
             continue;
         }
         const bool atAsker = entry.holder == asker;
-        if (!granted[entry.bucket] && !(recovers && atAsker)) {
+        const bool recovered = recovers && atAsker && !entry.closing;
+        if (!granted[entry.bucket] && !recovered) {
             continue;
         }
         const bool local = entry.holder == self;
-        notes[entry.bucket].push_back({.caller = caller, .holder = entry.holder, .certain = local});
+        notes[entry.bucket].push_back(
+            {.caller = caller, .holder = entry.holder, .certain = local, .closing = entry.closing});
         if (granted[entry.bucket] && !local) {
             entry.certain = false;
         }
@@ -142,10 +144,14 @@
 {
     for (const auto &note : section.flows) {
         const bool here = note.holder == directory.options.self;
-        if (here && !directory.recovering) {
+        if (here && (!directory.recovering || note.closing)) {
             continue;
         }
         putFlow(directory, note.caller, note.holder, note.certain || here, now);
+        const auto entry = directory.flows.find(note.caller);
+        if (note.closing && entry->second.holder == note.holder) {
+            entry->second.closing = true;
+        }
     }
 }
 
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -113,6 +113,7 @@
     directory.lastLoad = now;
     directory.lastSweep = now;
     directory.warmth.grownAt = now;
+    directory.recovering = options.serverLivedOn;
     directory.warmth.share = options.warm ? 1.0 : Warmth::coldShare;
     directory.pace.filledAt = now;
     return directory;
