--- a/include/oriolelever/admin.h
+++ b/include/oriolelever/admin.h
@@ -35,6 +35,14 @@
     /// Adds or replaces a provider; it is called on the control thread.
     void addStatus(std::string name, std::function<nlohmann::json()> provider);
 
+    /// Parameters of a question, such as "kind" of /in-force?kind=zone.
+    using Query = std::map<std::string, std::string>;
+    /// Takes the HTTP status and the answer, once.
+    using Reply = std::function<void(int status, const nlohmann::json &answer)>;
+
+    /// Answers GET requests of `path`, such as "/in-force"; called on the control thread.
+    void addQuery(std::string path, std::function<void(const Query &, Reply)> handler);
+
     /// Makes /health answer 503 from now on.
     void setDraining();
 
@@ -53,6 +61,7 @@
     Endpoint m_address;
     Metrics &m_metrics;
     std::map<std::string, std::function<nlohmann::json()>> m_providers;
+    std::map<std::string, std::function<void(const Query &, Reply)>> m_queries;
     std::unique_ptr<Server> m_server;
     std::uint16_t m_port = 0;
     bool m_draining = false;
--- a/include/oriolelever/commands.h
+++ b/include/oriolelever/commands.h
@@ -7,7 +7,19 @@
 
 /// Prints the table of result codes.
 Command codesCommand();
-/// Validates settings files.
+/// Validates settings files and tables.
 Command checkCommand();
+/// Shows, exports and imports the operators' table, lists and undoes changes.
+Command tableCommand();
+/// Changes cells of the table.
+Command setCommand();
+/// Takes an availability zone out or returns it.
+Command zoneCommand();
+/// Gives a backend server no new work.
+Command drainCommand();
+/// Takes back a drain.
+Command undrainCommand();
+/// Members, versions in force, flows, limits and who is stale.
+Command statusCommand();
 
 } // namespace oriolelever
--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -147,9 +147,11 @@
 /// Compares the object as read back with the write of `intended` under `change`.
 Resolution resolveUnknown(const Object &intended, const std::string &change, const Answer<Object> &readBack);
 
-/// Writes with a new change identifier. After a lost answer it reads back and, where needed, sends the same
+/// Writes under `change`. After a lost answer it reads back and, where needed, sends the same
 /// conditional write again, `attempts` times at most; only then it answers `PlatformOutcomeUnknown`. `api`
 /// must outlive the call.
+void writeResolved(ObjectApi &api, Object object, std::string change, int attempts, Done<Object> done);
+/// The same with a new change identifier.
 void writeResolved(ObjectApi &api, Object object, int attempts, Done<Object> done);
 
 /// Appends `change` and drops all but the latest few.
--- a/src/admin.cc
+++ b/src/admin.cc
@@ -102,6 +102,12 @@
             answer(request, std::move(status), "text/plain", admin.m_draining ? "draining\n" : "ok\n");
         } else if (path == "/status") {
             answer(request, restinio::status_ok(), "application/json", admin.status().dump());
+        } else if (admin.m_queries.contains(path)) {
+            admin.m_queries.at(path)(queryOf(request), [request](int status, const nlohmann::json &json) {
+                const auto code = static_cast<std::uint16_t>(status);
+                answer(request, restinio::http_status_line_t(restinio::http_status_code_t(code), "answer"),
+                       "application/json", json.dump());
+            });
         } else {
             answer(request, restinio::status_not_found(), "text/plain",
                    "paths: /metrics, /health, /status\n");
@@ -109,6 +115,15 @@
         return restinio::request_accepted();
     }
 
+    static Query queryOf(const restinio::request_handle_t &request)
+    {
+        Query query;
+        for (const auto &[name, value] : restinio::parse_query(request->header().query())) {
+            query.emplace(name, value);
+        }
+        return query;
+    }
+
     restinio::http_server_t<Traits> m_http;
 };
 
@@ -151,6 +166,11 @@
     m_providers[std::move(name)] = std::move(provider);
 }
 
+void Admin::addQuery(std::string path, std::function<void(const Query &, Reply)> handler)
+{
+    m_queries[std::move(path)] = std::move(handler);
+}
+
 void Admin::setDraining()
 {
     m_draining = true;
--- a/src/cmd-check.cc
+++ b/src/cmd-check.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "oriolelever/settings.h"
+#include "oriolelever/table.h"
 
 namespace oriolelever {
 
@@ -28,7 +29,11 @@
     }
     std::vector<Problem> problems;
     for (const auto &file : arguments) {
-        checkSettings(file, problems);
+        if (isTableFile(file)) {
+            readTableFile(file, problems);
+        } else {
+            checkSettings(file, problems);
+        }
     }
     for (const auto &problem : problems) {
         fmt::print("{}\n", toString(problem));
@@ -41,7 +46,10 @@
 
 Command checkCommand()
 {
-    return {.name = "check", .usage = "FILE...", .summary = "Validates settings files.", .run = runCheck};
+    return {.name = "check",
+            .usage = "FILE...",
+            .summary = "Validates settings files and tables (.csv, .json).",
+            .run = runCheck};
 }
 
 } // namespace oriolelever
--- a/src/main.cc
+++ b/src/main.cc
@@ -7,6 +7,12 @@
     const auto commands = std::to_array<oriolelever::Command>({
         oriolelever::checkCommand(),
         oriolelever::codesCommand(),
+        oriolelever::drainCommand(),
+        oriolelever::setCommand(),
+        oriolelever::statusCommand(),
+        oriolelever::tableCommand(),
+        oriolelever::undrainCommand(),
+        oriolelever::zoneCommand(),
     });
     return oriolelever::runCommandLine("oriolelever", commands, argc, argv);
 }
--- /dev/null
+++ b/src/operator.cc
@@ -0,0 +1,280 @@
+#include "oriolelever/operator.h"
+
+#include <algorithm>
+#include <thread>
+
+#include <absl/flags/flag.h>
+#include <curl/curl.h>
+#include <fmt/format.h>
+
+#include "oriolelever/cli.h"
+#include "oriolelever/flags.h"
+#include "oriolelever/log.h"
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::chrono::milliseconds askInterval{100};
+constexpr std::chrono::milliseconds askTimeout{2000};
+constexpr long maxConnections = 64;
+constexpr std::size_t maxFetchedBytes = 64UL << 20;
+
+struct Fetch
+{
+    Fetched *out = nullptr;
+    CURL *easy = nullptr;
+};
+
+std::size_t appendFetched(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto &body = static_cast<Fetched *>(user)->body;
+    if (body.size() + size * count > maxFetchedBytes) {
+        return 0;
+    }
+    body.append(data, size * count);
+    return size * count;
+}
+
+CURL *startFetch(Fetched &out, const std::string &path, std::chrono::milliseconds timeout)
+{
+    auto *const easy = curl_easy_init();
+    curl_easy_setopt(easy, CURLOPT_URL, fmt::format("http://{}{}", toString(out.from), path).c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, appendFetched);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &out);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &out);
+    return easy;
+}
+
+void finishFetches(CURLM *multi)
+{
+    int left = 0;
+    while (auto *const message = curl_multi_info_read(multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        auto *const easy = message->easy_handle;
+        Fetched *out = nullptr;
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &out);
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        out->status = message->data.result == CURLE_OK ? static_cast<int>(status) : 0;
+        curl_multi_remove_handle(multi, easy);
+        curl_easy_cleanup(easy);
+    }
+}
+
+void printOutcome(const EditOutcome &outcome)
+{
+    fmt::print("row: {}\nversion: {}\n", toString(outcome.key), outcome.version);
+    for (const auto &change : outcome.changes) {
+        fmt::print("{}: {} -> {}\n", change.column, change.from.empty() ? "(none)" : change.from, change.to);
+    }
+    if (outcome.changes.empty()) {
+        fmt::print("changed: nothing\n");
+    }
+}
+
+// Returns the exit status.
+int waitFor(Operator &session, const EditOutcome &outcome)
+{
+    const auto started = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds limit(absl::GetFlag(FLAGS_timeout));
+    const auto inForce = session.waitInForce(outcome.key, outcome.version, started + limit);
+    const auto took
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - started);
+    if (!inForce.known) {
+        fmt::print("in force: unknown\n");
+        return reportError(
+            {Code::NotInForce,
+             "no process of setting \"operator.admin\" could be asked whether it is in force"});
+    }
+    fmt::print("in force: {} of {}\nwaited ms: {}\n", inForce.confirmed, inForce.asked, took.count());
+    for (const auto &name : inForce.missing) {
+        fmt::print("not confirmed: {}\n", name);
+    }
+    if (isComplete(inForce, 1)) {
+        return exitOk;
+    }
+    return reportError({Code::NotInForce,
+                        fmt::format("version {} of \"{}\" is not in force everywhere after {} ms",
+                                    outcome.version, toString(outcome.key), took.count())});
+}
+
+} // namespace
+
+std::vector<Fetched> fetchAll(const std::vector<Endpoint> &addresses, const std::string &path,
+                              std::chrono::milliseconds timeout)
+{
+    std::vector<Fetched> fetched(addresses.size());
+    auto *const multi = curl_multi_init();
+    curl_multi_setopt(multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, maxConnections);
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        fetched[i].from = addresses[i];
+        curl_multi_add_handle(multi, startFetch(fetched[i], path, timeout));
+    }
+    int running = 1;
+    while (running > 0) {
+        curl_multi_perform(multi, &running);
+        finishFetches(multi);
+        if (running > 0) {
+            curl_multi_poll(multi, nullptr, 0, static_cast<int>(askInterval.count()), nullptr);
+        }
+    }
+    finishFetches(multi);
+    curl_multi_cleanup(multi);
+    return fetched;
+}
+
+std::vector<ProcessStatus> readStatuses(const std::vector<Endpoint> &addresses,
+                                        std::chrono::milliseconds timeout)
+{
+    std::vector<ProcessStatus> statuses;
+    for (auto &fetched : fetchAll(addresses, "/status", timeout)) {
+        ProcessStatus status{.admin = fetched.from};
+        status.status = nlohmann::json::parse(fetched.body, nullptr, false);
+        status.answered = fetched.status == 200 && status.status.is_object();
+        statuses.push_back(std::move(status));
+    }
+    return statuses;
+}
+
+bool isComplete(const InForce &inForce, std::uint64_t least)
+{
+    return inForce.known && inForce.asked >= least && inForce.confirmed == inForce.asked
+        && inForce.missing.empty();
+}
+
+InForce judgeInForce(const std::vector<Fetched> &answers)
+{
+    InForce best;
+    for (const auto &answer : answers) {
+        const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+        if (answer.status != 200 || !json.is_object() || !json.contains("asked")) {
+            continue;
+        }
+        InForce inForce{.known = true,
+                        .asked = json.value("asked", std::uint64_t(0)),
+                        .confirmed = json.value("confirmed", std::uint64_t(0)),
+                        .missing = json.value("missing", std::vector<std::string>())};
+        if (!best.known || inForce.asked > best.asked) {
+            best = std::move(inForce);
+        }
+    }
+    return best;
+}
+
+Operator::Operator(Settings settings)
+    : m_settings(std::move(settings))
+    , m_work(asio::make_work_guard(m_control))
+    , m_client(platformOptions(m_settings))
+{
+    m_client.startOn(m_control);
+}
+
+Operator::~Operator() = default;
+
+Answer<std::vector<TableRow>> Operator::rows()
+{
+    std::vector<TableRow> rows;
+    for (const auto kind : {RowKind::Service, RowKind::Zone, RowKind::Server}) {
+        const auto answer = wait<ObjectList>(
+            [&](Done<ObjectList> done) { api().list(std::string(toString(kind)), std::move(done)); });
+        if (!answer) {
+            return answer.error();
+        }
+        for (const auto &object : answer.value().objects) {
+            rows.push_back(rowOf(object));
+        }
+    }
+    return rows;
+}
+
+Answer<EditOutcome> Operator::apply(const RowEdit &edit, bool create)
+{
+    const EditOptions options{
+        .who = m_settings.text("process", "name"),
+        .when = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()),
+        .create = create,
+    };
+    return wait<EditOutcome>(
+        [&](Done<EditOutcome> done) { applyEdit(api(), edit, options, std::move(done)); });
+}
+
+InForce Operator::waitInForce(const RowKey &key, std::uint64_t version, TimePoint end, std::uint64_t least)
+{
+    const auto addresses = m_settings.addresses("operator", "admin");
+    const auto path
+        = fmt::format("/in-force?kind={}&name={}&version={}", toString(key.kind), key.name, version);
+    InForce inForce;
+    while (true) {
+        inForce = judgeInForce(fetchAll(addresses, path, askTimeout));
+        if (isComplete(inForce, least) || std::chrono::steady_clock::now() >= end) {
+            return inForce;
+        }
+        std::this_thread::sleep_for(askInterval);
+    }
+}
+
+std::optional<Settings> operatorSettings()
+{
+    const auto file = absl::GetFlag(FLAGS_config);
+    if (file.empty()) {
+        usageError("flag \"--config\" is missing; it names the operator's settings file");
+        return std::nullopt;
+    }
+    std::vector<Problem> problems;
+    auto settings = readSettings(file, settingSpecs("operator"), problems);
+    for (const auto &problem : problems) {
+        usageError(toString(problem));
+    }
+    if (!problems.empty()) {
+        return std::nullopt;
+    }
+    LogLevel level = LogLevel::Warn;
+    parseLogLevel(settings.text("process", "log"), level);
+    initLogging(level);
+    return settings;
+}
+
+int reportError(const Error &error)
+{
+    usageError(fmt::format("{} ({} {})", error.text, static_cast<int>(error.code), toString(error.code)));
+    const bool wrongInput = static_cast<int>(error.code) < static_cast<int>(Code::PlatformUnreachable);
+    return wrongInput ? exitUsage : exitOutcomeMissed;
+}
+
+int runEdits(const std::vector<RowEdit> &edits, bool create)
+{
+    const auto settings = operatorSettings();
+    if (!settings) {
+        return exitUsage;
+    }
+    Operator session(*settings);
+    int status = exitOk;
+    std::vector<EditOutcome> outcomes;
+    for (const auto &edit : edits) {
+        const auto answer = session.apply(edit, create);
+        if (!answer) {
+            status = std::max(status, reportError(answer.error()));
+            continue;
+        }
+        printOutcome(answer.value());
+        outcomes.push_back(answer.value());
+    }
+    if (session.lostAnswers() > 0) {
+        fmt::print("lost answers resolved by reading back: {}\n", session.lostAnswers());
+    }
+    if (!absl::GetFlag(FLAGS_wait)) {
+        return status;
+    }
+    for (const auto &outcome : outcomes) {
+        status = std::max(status, waitFor(session, outcome));
+    }
+    return status;
+}
+
+} // namespace oriolelever
--- a/src/platform-policy.cc
+++ b/src/platform-policy.cc
@@ -133,11 +133,16 @@
 } // namespace
 
 void writeResolved(ObjectApi &api, Object object, int attempts, Done<Object> done)
+{
+    writeResolved(api, std::move(object), newChangeId(), attempts, std::move(done));
+}
+
+void writeResolved(ObjectApi &api, Object object, std::string change, int attempts, Done<Object> done)
 {
     auto write = std::make_shared<ResolvedWrite>();
     write->api = &api;
     write->object = std::move(object);
-    write->change = newChangeId();
+    write->change = std::move(change);
     write->attempts = attempts;
     write->done = std::move(done);
     write->write();
--- /dev/null
+++ b/src/table-file.cc
@@ -0,0 +1,415 @@
+#include "oriolelever/table.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace oriolelever {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kindField = "kind";
+constexpr std::string_view nameField = "name";
+constexpr std::string_view versionField = "version";
+
+std::string csvField(const std::string &field)
+{
+    if (field.find_first_of(",\"\r\n") == std::string::npos) {
+        return field;
+    }
+    std::string quoted = "\"";
+    for (const char c : field) {
+        quoted += c;
+        if (c == '"') {
+            quoted += c;
+        }
+    }
+    return quoted + '"';
+}
+
+std::string allFields()
+{
+    std::string names = "kind, name, version";
+    for (const auto &column : tableColumns()) {
+        names += ", ";
+        names += column.name;
+    }
+    return names;
+}
+
+// Collects the cells of one row of a file and the problems in them.
+class RowReader
+{
+public:
+    RowReader(const std::string &file, int line, std::vector<Problem> &problems)
+        : m_file(file)
+        , m_line(line)
+        , m_problems(problems)
+    {
+    }
+
+    void key(const std::string &kind, const std::string &name)
+    {
+        m_valid = parseRowKind(kind, m_edit.key.kind);
+        if (!m_valid) {
+            problem(kindField, kind, "service, zone or server");
+            return;
+        }
+        if (!parseRowKey(kind + "/" + name, m_edit.key)) {
+            m_valid = false;
+            problem(nameField, name, "letters, digits, '-', '_' and '.'");
+        }
+    }
+
+    void version(const std::string &text)
+    {
+        const Column column{.name = versionField, .max = UINT64_MAX};
+        const auto parsed = parseCell(column, text);
+        if (!parsed) {
+            problem(versionField, text, "a version of the platform, or empty");
+            return;
+        }
+        m_edit.expect = parsed->get<std::uint64_t>();
+    }
+
+    void cell(const std::string &name, const std::string &text)
+    {
+        const auto *const column = findColumn(name);
+        if (!m_valid || column == nullptr) {
+            return;
+        }
+        if (!hasColumn(m_edit.key.kind, *column)) {
+            problem(name, text, fmt::format("empty in a row of kind {}", toString(m_edit.key.kind)));
+            return;
+        }
+        const auto parsed = parseCell(*column, text);
+        if (!parsed) {
+            problem(name, text, allowedText(*column));
+            return;
+        }
+        m_edit.cells.push_back({name, parsed->is_string() ? parsed->get<std::string>() : parsed->dump()});
+    }
+
+    void problem(std::string_view field, const std::string &value, const std::string &allowed)
+    {
+        m_problems.push_back({m_file, m_line, std::string(field), value, allowed});
+    }
+
+    std::optional<RowEdit> finish(std::set<RowKey> &seen)
+    {
+        if (!m_valid) {
+            return std::nullopt;
+        }
+        if (!seen.insert(m_edit.key).second) {
+            problem(nameField, m_edit.key.name, "one row for each kind and name");
+        }
+        return std::move(m_edit);
+    }
+
+private:
+    const std::string &m_file;
+    int m_line;
+    std::vector<Problem> &m_problems;
+    RowEdit m_edit;
+    bool m_valid = false;
+};
+
+std::optional<std::size_t> findField(const std::vector<std::string> &header, std::string_view name)
+{
+    const auto field = std::find(header.begin(), header.end(), name);
+    if (field == header.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(field - header.begin());
+}
+
+bool checkHeader(const std::string &file, const CsvRecord &header, std::vector<Problem> &problems)
+{
+    const auto before = problems.size();
+    for (const auto &name : header.fields) {
+        const bool fixed = name == kindField || name == nameField || name == versionField;
+        if (!fixed && findColumn(name) == nullptr) {
+            problems.push_back({file, header.line, "column", name, allFields()});
+        } else if (std::count(header.fields.begin(), header.fields.end(), name) > 1) {
+            problems.push_back({file, header.line, "column", name, "each column once"});
+        }
+    }
+    for (const auto required : {kindField, nameField}) {
+        if (!findField(header.fields, required)) {
+            problems.push_back({file, 0, "column \"" + std::string(required) + "\"", "", allFields()});
+        }
+    }
+    return problems.size() == before;
+}
+
+std::string jsonCellText(const Json &cell)
+{
+    return cell.is_string() ? cell.get<std::string>() : cell.dump();
+}
+
+// Line of the byte at `offset`, from 1.
+int lineAt(std::string_view text, std::size_t offset)
+{
+    const auto end = text.begin() + static_cast<std::ptrdiff_t>(std::min(offset, text.size()));
+    return 1 + static_cast<int>(std::count(text.begin(), end, '\n'));
+}
+
+// Line at which each element of the top array starts; JSON values keep no positions.
+std::vector<int> elementLines(std::string_view text)
+{
+    std::vector<int> lines;
+    int depth = 0;
+    bool quoted = false;
+    int line = 1;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        line += c == '\n' ? 1 : 0;
+        if (quoted) {
+            i += c == '\\' ? 1 : 0;
+            quoted = c != '"';
+            continue;
+        }
+        quoted = c == '"';
+        if (c == '{' || c == '[') {
+            if (++depth == 2) {
+                lines.push_back(line);
+            }
+        }
+        depth -= c == '}' || c == ']' ? 1 : 0;
+    }
+    return lines;
+}
+
+std::string stringMember(const Json &json, std::string_view name)
+{
+    const auto member = json.find(name);
+    return member == json.end() ? std::string() : jsonCellText(*member);
+}
+
+} // namespace
+
+std::string csvLine(const std::vector<std::string> &fields)
+{
+    std::string line;
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+        line += i == 0 ? "" : ",";
+        line += csvField(fields[i]);
+    }
+    return line + '\n';
+}
+
+bool parseCsv(std::string_view text, std::vector<CsvRecord> &records)
+{
+    CsvRecord record{.line = 1};
+    std::string field;
+    int line = 1;
+    bool quoted = false;
+    bool any = false;
+    const auto endRecord = [&] {
+        if (any || !field.empty() || !record.fields.empty()) {
+            record.fields.push_back(std::move(field));
+            records.push_back(std::move(record));
+        }
+        field.clear();
+        any = false;
+        record = {.line = line};
+    };
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        line += c == '\n' ? 1 : 0;
+        if (quoted) {
+            const bool doubled = c == '"' && i + 1 < text.size() && text[i + 1] == '"';
+            if (c != '"' || doubled) {
+                field += c;
+                i += doubled ? 1 : 0;
+            } else {
+                quoted = false;
+            }
+        } else if (c == '"' && field.empty()) {
+            quoted = true;
+            any = true;
+        } else if (c == ',') {
+            record.fields.push_back(std::move(field));
+            field.clear();
+        } else if (c == '\n') {
+            endRecord();
+        } else if (c != '\r' || i + 1 >= text.size() || text[i + 1] != '\n') {
+            field += c;
+        }
+    }
+    endRecord();
+    return !quoted;
+}
+
+std::string tableCsv(std::span<const TableRow> rows)
+{
+    std::vector<std::string> header{std::string(kindField), std::string(nameField),
+                                    std::string(versionField)};
+    for (const auto &column : tableColumns()) {
+        header.emplace_back(column.name);
+    }
+    std::string text = csvLine(header);
+    for (const auto &row : rows) {
+        std::vector<std::string> fields{std::string(toString(row.key.kind)), row.key.name,
+                                        std::to_string(row.version)};
+        for (const auto &column : tableColumns()) {
+            fields.push_back(cellText(row, column));
+        }
+        text += csvLine(fields);
+    }
+    return text;
+}
+
+std::string tableJson(std::span<const TableRow> rows, const Measured &measured)
+{
+    Json json = Json::array();
+    for (const auto &row : rows) {
+        Json item{
+            {kindField, toString(row.key.kind)}, {nameField, row.key.name}, {versionField, row.version}};
+        for (const auto &column : tableColumns()) {
+            if (hasColumn(row.key.kind, column) && row.value.contains(column.name)) {
+                item[std::string(column.name)] = row.value[std::string(column.name)];
+            }
+        }
+        const auto cells = measured.find(row.key);
+        if (cells != measured.end()) {
+            for (const auto &cell : cells->second) {
+                item["measured"][cell.name] = cell.value;
+            }
+        }
+        json.push_back(std::move(item));
+    }
+    return json.dump(2) + '\n';
+}
+
+std::string tableText(std::span<const TableRow> rows, const Measured &measured)
+{
+    std::string text;
+    for (const auto &row : rows) {
+        text += fmt::format("{} version {}\n", toString(row.key), row.version);
+        for (const auto &column : tableColumns()) {
+            if (hasColumn(row.key.kind, column)) {
+                text += fmt::format("  {}: {}\n", column.name, cellText(row, column));
+            }
+        }
+        const auto cells = measured.find(row.key);
+        if (cells == measured.end()) {
+            continue;
+        }
+        for (const auto &cell : cells->second) {
+            text += fmt::format("  measured {}: {}\n", cell.name, cell.value);
+        }
+    }
+    return text;
+}
+
+std::vector<RowEdit> parseTableCsv(const std::string &file, std::string_view text,
+                                   std::vector<Problem> &problems)
+{
+    std::vector<CsvRecord> records;
+    if (!parseCsv(text, records)) {
+        problems.push_back(
+            {file, records.empty() ? 1 : records.back().line, "quote", "\"", "a closing quote"});
+        return {};
+    }
+    if (records.empty()) {
+        problems.push_back({file, 0, "header", "", allFields()});
+        return {};
+    }
+    const auto header = records.front().fields;
+    if (!checkHeader(file, records.front(), problems)) {
+        return {};
+    }
+    std::vector<RowEdit> edits;
+    std::set<RowKey> seen;
+    const auto kind = *findField(header, kindField);
+    const auto name = *findField(header, nameField);
+    for (const auto &record : std::span(records).subspan(1)) {
+        RowReader row(file, record.line, problems);
+        if (record.fields.size() != header.size()) {
+            row.problem("row", std::to_string(record.fields.size()) + " fields",
+                        fmt::format("{} fields", header.size()));
+            continue;
+        }
+        row.key(record.fields[kind], record.fields[name]);
+        for (std::size_t i = 0; i < header.size(); ++i) {
+            if (i == kind || i == name || record.fields[i].empty()) {
+                continue;
+            }
+            if (header[i] == versionField) {
+                row.version(record.fields[i]);
+            } else {
+                row.cell(header[i], record.fields[i]);
+            }
+        }
+        if (auto edit = row.finish(seen)) {
+            edits.push_back(std::move(*edit));
+        }
+    }
+    return edits;
+}
+
+std::vector<RowEdit> parseTableJson(const std::string &file, std::string_view text,
+                                    std::vector<Problem> &problems)
+{
+    Json json;
+    try {
+        json = Json::parse(text);
+    } catch (const Json::parse_error &error) {
+        problems.push_back({file, lineAt(text, error.byte), "json", "", "a JSON array of rows"});
+        return {};
+    }
+    const bool rows = json.is_array()
+        && std::all_of(json.begin(), json.end(), [](const Json &item) { return item.is_object(); });
+    if (!rows) {
+        problems.push_back({file, 1, "json", std::string(json.type_name()), "a JSON array of rows"});
+        return {};
+    }
+    const auto lines = elementLines(text);
+    std::vector<RowEdit> edits;
+    std::set<RowKey> seen;
+    for (std::size_t i = 0; i < json.size(); ++i) {
+        RowReader row(file, i < lines.size() ? lines[i] : 1, problems);
+        row.key(stringMember(json[i], kindField), stringMember(json[i], nameField));
+        for (const auto &[field, cell] : json[i].items()) {
+            if (field == kindField || field == nameField || field == "measured") {
+                continue;
+            }
+            if (field == versionField) {
+                row.version(jsonCellText(cell));
+            } else if (findColumn(field) == nullptr) {
+                row.problem(field, jsonCellText(cell), allFields());
+            } else {
+                row.cell(field, jsonCellText(cell));
+            }
+        }
+        if (auto edit = row.finish(seen)) {
+            edits.push_back(std::move(*edit));
+        }
+    }
+    return edits;
+}
+
+bool isTableFile(std::string_view file)
+{
+    return file.ends_with(".csv") || file.ends_with(".json");
+}
+
+std::vector<RowEdit> readTableFile(const std::string &file, std::vector<Problem> &problems)
+{
+    std::ifstream in(file);
+    if (!in) {
+        problems.push_back({file, 0, "file", "", "a readable table"});
+        return {};
+    }
+    const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    return file.ends_with(".json") ? parseTableJson(file, text, problems)
+                                   : parseTableCsv(file, text, problems);
+}
+
+} // namespace oriolelever
