Status of records, questions /in-force and /node

Cause: operators wait until an order is in force everywhere. Change: each process tells the versions that it has, a balancer asks every live process about one; drain refuses a server that nobody knows.

--- a/include/oriolelever/operator.h
+++ b/include/oriolelever/operator.h
@@ -42,6 +42,7 @@
 struct InForce
 {
     bool known = false; ///< False if no process could be asked.
+    Endpoint from; ///< Who collected the answers.
     std::uint64_t asked = 0;
     std::uint64_t confirmed = 0;
     std::vector<std::string> missing; ///< Names, or addresses of processes that gave no name.
@@ -97,6 +98,9 @@
         return m_client.counters().outcomesUnknown;
     }
 
+    /// False if every process that answers says that it knows no node of this name.
+    bool mayExist(const std::string &node) const;
+
     /// Asks until `version` of `key` is in force on every live process, `least` or more, or `end` has come.
     InForce waitInForce(const RowKey &key, std::uint64_t version, TimePoint end, std::uint64_t least = 1);
 
--- a/src/operator.cc
+++ b/src/operator.cc
@@ -15,7 +15,9 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds askInterval{100};
+constexpr std::chrono::milliseconds shortestAskInterval{50};
+constexpr std::chrono::milliseconds longestAskInterval{800};
+constexpr std::chrono::milliseconds fetchPoll{100};
 constexpr std::chrono::milliseconds askTimeout{2000};
 constexpr long maxConnections = 64;
 constexpr std::size_t maxFetchedBytes = 64UL << 20;
@@ -121,7 +123,7 @@
         curl_multi_perform(multi, &running);
         finishFetches(multi);
         if (running > 0) {
-            curl_multi_poll(multi, nullptr, 0, static_cast<int>(askInterval.count()), nullptr);
+            curl_multi_poll(multi, nullptr, 0, static_cast<int>(fetchPoll.count()), nullptr);
         }
     }
     finishFetches(multi);
@@ -157,6 +159,7 @@
             continue;
         }
         InForce inForce{.known = true,
+                        .from = answer.from,
                         .asked = json.value("asked", std::uint64_t(0)),
                         .confirmed = json.value("confirmed", std::uint64_t(0)),
                         .missing = json.value("missing", std::vector<std::string>())};
@@ -206,19 +209,39 @@
 
 InForce Operator::waitInForce(const RowKey &key, std::uint64_t version, TimePoint end, std::uint64_t least)
 {
-    const auto addresses = m_settings.addresses("operator", "admin");
+    auto addresses = m_settings.addresses("operator", "admin");
     const auto path
         = fmt::format("/in-force?kind={}&name={}&version={}", toString(key.kind), key.name, version);
     InForce inForce;
+    auto interval = shortestAskInterval;
     while (true) {
         inForce = judgeInForce(fetchAll(addresses, path, askTimeout));
         if (isComplete(inForce, least) || std::chrono::steady_clock::now() >= end) {
             return inForce;
         }
-        std::this_thread::sleep_for(askInterval);
+        // Every question goes to all live processes, so one that knows the most is asked from now on.
+        if (inForce.known && inForce.asked >= least) {
+            addresses = {inForce.from};
+        }
+        std::this_thread::sleep_for(interval);
+        interval = std::min(2 * interval, longestAskInterval);
     }
 }
 
+bool Operator::mayExist(const std::string &node) const
+{
+    const auto answers
+        = fetchAll(m_settings.addresses("operator", "admin"), "/node?name=" + node, askTimeout);
+    bool denied = false;
+    for (const auto &answer : answers) {
+        if (answer.status == 200) {
+            return true;
+        }
+        denied = denied || (answer.status == 404 && answer.body == "null");
+    }
+    return !denied;
+}
+
 std::optional<Settings> operatorSettings()
 {
     const auto file = absl::GetFlag(FLAGS_config);
@@ -257,6 +280,11 @@
     int status = exitOk;
     std::vector<EditOutcome> outcomes;
     for (const auto &edit : edits) {
+        if (edit.key.kind == RowKind::Server && !session.mayExist(edit.key.name)) {
+            const auto text = fmt::format("server \"{}\" does not exist", edit.key.name);
+            status = std::max(status, reportError({Code::NotFound, text}));
+            continue;
+        }
         const auto answer = session.apply(edit, create);
         if (!answer) {
             status = std::max(status, reportError(answer.error()));
--- a/src/records.cc
+++ b/src/records.cc
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 
 #include "oriolelever/log.h"
+#include "oriolelever/records-status.h"
 #include "oriolelever/watch.h"
 
 namespace oriolelever {
@@ -54,6 +55,9 @@
 Result<void> Records::start(Kernel &kernel)
 {
     startOn(kernel.control(), kernel.find<Streams>("streams"), kernel.tryFind<ObjectApi>("platform"));
+    if (auto *const admin = kernel.tryFind<Admin>("admin")) {
+        offerRecordsStatus(*admin, *this);
+    }
     return {};
 }
 
