--- a/src/request.cc
+++ b/src/request.cc
@@ -275,7 +275,9 @@
         // A server that is silent past a deadline is taken for cold.
         noteCold(gate.limiter);
     }
-    finish(gate, state, Code::RefusedNotRun, Reason::DeadlinePassed,
+    // Without an end of its claim the request may be a repetition of one that ran.
+    const auto reason = state.phase == Phase::Claiming ? Reason::NotProvenFresh : Reason::DeadlinePassed;
+    finish(gate, state, Code::RefusedNotRun, reason,
            ceilMs(expectedWait(gate, state.facts.urgency, now)), effects);
 }
 
--- a/test/request-test.cc
+++ b/test/request-test.cc
@@ -32,25 +32,25 @@
     Effects add(const RequestFacts &request, TimePoint now = start)
     {
         Effects effects;
-        arrive(gate, request, now, effects);
+        arrive(m_gate, request, now, effects);
         return effects;
     }
 
     Effects fail(const SendAttempt &sent, AttemptFailure failure, TimePoint now = start)
     {
         Effects effects;
-        attemptFailed(gate, sent.request, sent.attempt, failure, now, effects);
+        attemptFailed(m_gate, sent.request, sent.attempt, failure, now, effects);
         return effects;
     }
 
     SendAttempt sendFirst(bool idempotent)
     {
         const auto sent = all<SendAttempt>(add(facts(1, idempotent))).at(0);
-        byteLeft(gate, sent.request, sent.attempt);
+        byteLeft(m_gate, sent.request, sent.attempt);
         return sent;
     }
 
-    Gate gate;
+    Gate m_gate;
 };
 
 } // namespace
@@ -59,11 +59,11 @@
 {
     const auto sent = sendFirst(false);
     Effects effects;
-    answerEnded(gate, 1, sent.attempt, start + 5ms, effects);
+    answerEnded(m_gate, 1, sent.attempt, start + 5ms, effects);
     ASSERT_EQ(all<RelayAnswer>(effects).size(), 1U);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Answered);
-    EXPECT_TRUE(gate.requests.empty());
-    EXPECT_EQ(gate.limiter.running, 0U);
+    EXPECT_TRUE(m_gate.requests.empty());
+    EXPECT_EQ(m_gate.limiter.running, 0U);
 }
 
 TEST_F(GateTest, NonIdempotentIsNeverSentAgainAfterAByteLeft)
@@ -87,14 +87,14 @@
     const auto sent = all<SendAttempt>(add(facts(1, false))).at(0);
     EXPECT_TRUE(all<Finish>(fail(sent, AttemptFailure::NotSent)).empty());
     Effects effects;
-    tick(gate, start + 25ms, effects);
+    tick(m_gate, start + 25ms, effects);
     EXPECT_EQ(all<SendAttempt>(effects).size(), 1U);
 }
 
 TEST_F(GateTest, RefusalAfterAnIdempotentRunIsToldAsUnknown)
 {
     auto sent = sendFirst(true);
-    gate.budget.tokens = 0;
+    m_gate.budget.tokens = 0;
     EXPECT_EQ(all<Finish>(fail(sent, AttemptFailure::Broken)).at(0).outcome, Code::OutcomeUnknown);
 }
 
@@ -103,7 +103,7 @@
     sendFirst(false);
     add(facts(2, false));
     Effects effects;
-    tick(gate, start + 2s, effects);
+    tick(m_gate, start + 2s, effects);
     const auto ends = all<Finish>(effects);
     ASSERT_EQ(ends.size(), 2U);
     for (const auto &end : ends) {
@@ -115,7 +115,7 @@
 TEST_F(GateTest, HopelessRequestIsRefusedAtOnce)
 {
     sendFirst(false);
-    gate.limiter.usualNs = 1e9;
+    m_gate.limiter.usualNs = 1e9;
     const auto end = all<Finish>(add(facts(2, true))).at(0);
     EXPECT_EQ(end.outcome, Code::RefusedNotRun);
     EXPECT_EQ(end.reason, Reason::DeadlineTooClose);
@@ -126,7 +126,7 @@
 {
     sendFirst(false);
     Effects effects;
-    callerGone(gate, 1, start, effects);
+    callerGone(m_gate, 1, start, effects);
     EXPECT_EQ(all<CancelAttempt>(effects).size(), 1U);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Cancelled);
 }
@@ -134,20 +134,20 @@
 TEST_F(GateTest, DrainRefusesNewAndLetsRunningFinish)
 {
     const auto sent = sendFirst(false);
-    beginDrain(gate);
+    beginDrain(m_gate);
     EXPECT_EQ(all<Finish>(add(facts(2, false))).at(0).reason, Reason::Draining);
     Effects effects;
-    answerEnded(gate, 1, sent.attempt, start + 1ms, effects);
+    answerEnded(m_gate, 1, sent.attempt, start + 1ms, effects);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Answered);
 }
 
 TEST_F(GateTest, DrainHandsOverButOnlyOnce)
 {
-    gate.peersAvailable = true;
-    beginDrain(gate);
+    m_gate.peersAvailable = true;
+    beginDrain(m_gate);
     EXPECT_EQ(all<HandOver>(add(facts(1, false))).size(), 1U);
     Effects effects;
-    handoverEnded(gate, 1, HandoverEnd::RefusedNotRun, 10ms, start, effects);
+    handoverEnded(m_gate, 1, HandoverEnd::RefusedNotRun, 10ms, start, effects);
     EXPECT_TRUE(all<HandOver>(effects).empty());
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::RefusedNotRun);
     auto further = facts(2, false);
@@ -157,11 +157,11 @@
 
 TEST_F(GateTest, LostHandoverOfNonIdempotentIsUnknown)
 {
-    gate.peersAvailable = true;
-    beginDrain(gate);
+    m_gate.peersAvailable = true;
+    beginDrain(m_gate);
     add(facts(1, false));
     Effects effects;
-    handoverEnded(gate, 1, HandoverEnd::Unknown, 0ms, start, effects);
+    handoverEnded(m_gate, 1, HandoverEnd::Unknown, 0ms, start, effects);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::OutcomeUnknown);
 }
 
@@ -173,7 +173,7 @@
     EXPECT_EQ(all<StartClaim>(first).size(), 1U);
     EXPECT_TRUE(all<SendAttempt>(first).empty());
     Effects effects;
-    claimEnded(gate, 1, ClaimVerdict::Fresh, 0ms, start, effects);
+    claimEnded(m_gate, 1, ClaimVerdict::Fresh, 0ms, start, effects);
     EXPECT_EQ(all<SendAttempt>(effects).size(), 1U);
 }
 
@@ -183,7 +183,7 @@
     request.keyed = true;
     add(request);
     Effects effects;
-    claimEnded(gate, 1, ClaimVerdict::NotProven, 700ms, start, effects);
+    claimEnded(m_gate, 1, ClaimVerdict::NotProven, 700ms, start, effects);
     const auto end = all<Finish>(effects).at(0);
     EXPECT_EQ(end.outcome, Code::RefusedNotRun);
     EXPECT_EQ(end.retryAfter, 700ms);
@@ -195,32 +195,32 @@
     request.keyed = true;
     add(request);
     Effects effects;
-    claimEnded(gate, 1, ClaimVerdict::Fresh, 0ms, start + 2s, effects);
+    claimEnded(m_gate, 1, ClaimVerdict::Fresh, 0ms, start + 2s, effects);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::RefusedNotRun);
     EXPECT_EQ(all<SettleClaim>(effects).at(0).end, ClaimEnd::Released);
 }
 
 TEST_F(GateTest, HedgeRunsInsideTheBudgetAndTheLoserIsCancelled)
 {
-    gate.limiter.limit = 2.0;
+    m_gate.limiter.limit = 2.0;
     const auto sent = sendFirst(true);
     Effects effects;
-    tick(gate, start + 50ms, effects);
+    tick(m_gate, start + 50ms, effects);
     const auto hedge = all<SendAttempt>(effects).at(0);
     effects.clear();
-    answerEnded(gate, 1, hedge.attempt, start + 60ms, effects);
+    answerEnded(m_gate, 1, hedge.attempt, start + 60ms, effects);
     EXPECT_EQ(all<CancelAttempt>(effects).at(0).attempt, sent.attempt);
     EXPECT_EQ(all<RelayAnswer>(effects).at(0).attempt, hedge.attempt);
-    EXPECT_EQ(gate.limiter.running, 0U);
+    EXPECT_EQ(m_gate.limiter.running, 0U);
 }
 
 TEST_F(GateTest, NoHedgeWithoutBudget)
 {
-    gate.limiter.limit = 2.0;
+    m_gate.limiter.limit = 2.0;
     sendFirst(true);
-    gate.budget.tokens = 0;
+    m_gate.budget.tokens = 0;
     Effects effects;
-    tick(gate, start + 50ms, effects);
+    tick(m_gate, start + 50ms, effects);
     EXPECT_TRUE(all<SendAttempt>(effects).empty());
 }
 
@@ -228,18 +228,18 @@
 {
     const auto sent = sendFirst(false);
     Effects effects;
-    tick(gate, start + 2s, effects);
+    tick(m_gate, start + 2s, effects);
     effects.clear();
-    answerEnded(gate, 1, sent.attempt, start + 3s, effects);
+    answerEnded(m_gate, 1, sent.attempt, start + 3s, effects);
     EXPECT_TRUE(effects.empty());
-    EXPECT_EQ(gate.counters.lateAnswers, 1U);
+    EXPECT_EQ(m_gate.counters.lateAnswers, 1U);
 }
 
 TEST_F(GateTest, BrokenAfterRelayIsNotSentAgain)
 {
     const auto sent = sendFirst(true);
     Effects effects;
-    answerBegan(gate, 1, sent.attempt, effects);
+    answerBegan(m_gate, 1, sent.attempt, effects);
     effects = fail(sent, AttemptFailure::Broken);
     EXPECT_TRUE(all<SendAttempt>(effects).empty());
     EXPECT_TRUE(all<Finish>(effects).at(0).relayed);
