--- a/include/oriolelever/upstream.h
+++ b/include/oriolelever/upstream.h
@@ -100,6 +100,8 @@
     /// `answerEnded`.
     const AnswerHead &head(AttemptId attempt) const;
     const std::string &held(AttemptId attempt) const;
+    /// True once the whole answer was received.
+    bool isWhole(AttemptId attempt) const;
     void closeIdle();
     const UpstreamCounters &counters() const;
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -86,6 +86,23 @@
     {"requests", "listen", SettingType::Address, true, "", 0, 0, "HTTP requests of callers (TCP)"},
     {"requests", "handover", SettingType::Address, true, "", 0, 0,
      "requests handed over by other agents (TCP)"},
+    {"requests", "urgent_paths", SettingType::Text, false, "/status,/dossier,/confirmation,/feed", 0, 0,
+     "prefixes of urgent paths, separated by commas"},
+    {"requests", "queue_limit", SettingType::Count, false, "256", 1, 100'000, "requests that wait"},
+    {"requests", "caller_queue_limit", SettingType::Count, false, "32", 1, 100'000,
+     "waiting requests of one caller address"},
+    {"requests", "caller_connection_limit", SettingType::Count, false, "256", 1, 100'000,
+     "open connections of one caller address"},
+    {"requests", "max_body_bytes", SettingType::Count, false, "1048576", 1, 1'073'741'824,
+     "largest body of a request"},
+    {"requests", "read_limit_ms", SettingType::Time, false, "10000", 10, 600'000,
+     "to receive one whole request; idle connections are closed after it"},
+    {"requests", "claim_window_ms", SettingType::Time, false, "600000", 1000, 86'400'000,
+     "how long an idempotency key is remembered"},
+    {"requests", "clock_tolerance_ms", SettingType::Time, false, "2000", 0, 60'000,
+     "largest difference between clocks of hosts and callers"},
+    {"requests", "linger_ms", SettingType::Time, false, "1000", 0, 60'000,
+     "a shutdown tells connections to close for at least this long"},
 });
 
 constexpr auto operatorSpecs = std::to_array<SettingSpec>({
--- a/src/upstream.cc
+++ b/src/upstream.cc
@@ -70,9 +70,12 @@
     return nullptr;
 }
 
-struct Connection
+namespace {
+
+// A connection to the backend server and the exchange under way on it.
+struct Exchange
 {
-    explicit Connection(asio::io_context &context)
+    explicit Exchange(asio::io_context &context)
         : socket(context)
         , timer(context)
     {
@@ -112,9 +115,11 @@
     }
 };
 
+} // namespace
+
 struct Upstream::State : std::enable_shared_from_this<Upstream::State>
 {
-    using Handle = std::shared_ptr<Connection>;
+    using Handle = std::shared_ptr<Exchange>;
 
     State(asio::io_context &ioContext, UpstreamOptions upstreamOptions, UpstreamEvents &upstreamEvents)
         : context(ioContext)
@@ -128,9 +133,9 @@
         settings.on_message_complete = onMessageComplete;
     }
 
-    static Connection &of(http_parser *parser)
+    static Exchange &of(http_parser *parser)
     {
-        return *static_cast<Connection *>(parser->data);
+        return *static_cast<Exchange *>(parser->data);
     }
 
     static int onField(http_parser *parser, const char *data, std::size_t length);
@@ -439,7 +444,7 @@
     auto connection = m_state->takeIdle(request);
     const bool pooled = connection != nullptr;
     if (!pooled) {
-        connection = std::make_shared<Connection>(m_state->context);
+        connection = std::make_shared<Exchange>(m_state->context);
     }
     connection->idle = false;
     connection->timer.cancel();
@@ -526,6 +531,12 @@
     return connection == nullptr ? none : connection->body;
 }
 
+bool Upstream::isWhole(AttemptId attempt) const
+{
+    const auto connection = m_state->find(attempt);
+    return connection != nullptr && connection->progress == Progress::Ended;
+}
+
 void Upstream::closeIdle()
 {
     const auto connections = std::exchange(m_state->idle, {});
--- /dev/null
+++ b/test/requests-test.cc
@@ -0,0 +1,477 @@
+#include "oriolelever/requests.h"
+
+#include <future>
+#include <map>
+#include <thread>
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "http-callers.h"
+#include "http-server.h"
+
+using namespace oriolelever;
+using namespace std::chrono_literals;
+
+namespace {
+
+Endpoint loopback()
+{
+    Endpoint endpoint;
+    parseEndpoint("127.0.0.1:0", endpoint);
+    return endpoint;
+}
+
+RequestsOptions agentOptions(const std::string &name, Incarnation incarnation, const Endpoint &server)
+{
+    RequestsOptions options;
+    options.self = {name, incarnation};
+    options.front.listen = loopback();
+    options.upstream.server = server;
+    options.handover.listen = loopback();
+    options.handover.tls.plain = true;
+    options.claims.clockTolerance = 0ms;
+    options.linger = 100ms;
+    return options;
+}
+
+struct Agent
+{
+    explicit Agent(lab::HttpServerOptions options = {.serviceTime = 1ms})
+        : server(onLoopback(options), lab::makeRunLedger())
+        , runner(agentOptions("a", 1, started(server)))
+    {
+        EXPECT_TRUE(runner.start());
+    }
+
+    static lab::HttpServerOptions onLoopback(lab::HttpServerOptions options)
+    {
+        options.listen = loopback();
+        return options;
+    }
+
+    static Endpoint started(lab::HttpServer &server)
+    {
+        EXPECT_TRUE(server.start());
+        return server.endpoint();
+    }
+
+    lab::HttpServer server;
+    RequestRunner runner;
+};
+
+// Agents of one service that know each other.
+class Cluster
+{
+public:
+    explicit Cluster(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            m_servers.push_back(std::make_unique<lab::HttpServer>(
+                Agent::onLoopback({.serviceTime = 1ms, .seed = i}), ledger));
+            EXPECT_TRUE(m_servers.back()->start());
+            m_incarnations.push_back(1);
+            m_agents.push_back(makeAgent(i, loopback(), loopback()));
+        }
+        tellPeers();
+    }
+
+    std::unique_ptr<RequestRunner> makeAgent(std::size_t i, const Endpoint &listen, const Endpoint &handover)
+    {
+        auto options = agentOptions(fmt::format("agent-{}", i), m_incarnations[i], m_servers[i]->endpoint());
+        options.front.listen = listen;
+        options.handover.listen = handover;
+        auto agent = std::make_unique<RequestRunner>(options);
+        EXPECT_TRUE(agent->start());
+        return agent;
+    }
+
+    void tellPeers()
+    {
+        for (std::size_t i = 0; i < m_agents.size(); ++i) {
+            std::vector<RequestPeer> peers;
+            for (std::size_t j = 0; j < m_agents.size(); ++j) {
+                if (j == i || m_agents[j] == nullptr) {
+                    continue;
+                }
+                const Holder holder{fmt::format("agent-{}", j), m_incarnations[j]};
+                peers.push_back({holder, m_agents[j]->handoverEndpoint(), true});
+            }
+            if (m_agents[i] != nullptr) {
+                m_agents[i]->setPeers(peers);
+            }
+        }
+    }
+
+    // A dated key is proven fresh once it is younger than the holders.
+    void waitForRecovery()
+    {
+        std::this_thread::sleep_for(30ms);
+    }
+
+    void stop(std::size_t i)
+    {
+        m_agents[i]->stop();
+    }
+
+    void stopServer(std::size_t i)
+    {
+        m_servers[i]->stop();
+    }
+
+    void restart(std::size_t i)
+    {
+        const auto listen = m_agents[i]->listenEndpoint();
+        const auto handover = m_agents[i]->handoverEndpoint();
+        m_agents[i].reset();
+        ++m_incarnations[i];
+        m_agents[i] = makeAgent(i, listen, handover);
+        tellPeers();
+    }
+
+    void drainAndRestart(std::size_t i)
+    {
+        std::promise<void> drained;
+        m_agents[i]->drain([&] { drained.set_value(); });
+        drained.get_future().wait();
+        restart(i);
+    }
+
+    Endpoint endpoint(std::size_t i) const
+    {
+        return m_agents[i]->listenEndpoint();
+    }
+
+    std::vector<Endpoint> endpoints() const
+    {
+        std::vector<Endpoint> all;
+        for (const auto &agent : m_agents) {
+            all.push_back(agent->listenEndpoint());
+        }
+        return all;
+    }
+
+    std::uint64_t runs() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto &server : m_servers) {
+            sum += server->figures().runs;
+        }
+        return sum;
+    }
+
+    std::uint64_t ranTwice() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto &server : m_servers) {
+            sum += server->figures().ranTwice;
+        }
+        return sum;
+    }
+
+    std::shared_ptr<lab::RunLedger> ledger = lab::makeRunLedger();
+
+private:
+    std::vector<std::unique_ptr<lab::HttpServer>> m_servers;
+    std::vector<std::unique_ptr<RequestRunner>> m_agents;
+    std::vector<Incarnation> m_incarnations;
+};
+
+struct Fetched
+{
+    CURLcode code = CURLE_OK;
+    long status = 0;
+    std::string body;
+    std::map<std::string, std::string> headers;
+};
+
+std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *user)
+{
+    static_cast<Fetched *>(user)->body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t takeHeader(char *data, std::size_t size, std::size_t count, void *user)
+{
+    const std::string line(data, size * count);
+    const auto colon = line.find(": ");
+    const auto end = line.find_last_not_of("\r\n");
+    if (colon != std::string::npos) {
+        static_cast<Fetched *>(user)->headers[line.substr(0, colon)] = line.substr(colon + 2, end - colon - 1);
+    }
+    return size * count;
+}
+
+Fetched fetch(const Endpoint &agent, const std::string &target, const std::string &key,
+              const std::string &body = {}, int deadlineMs = 2000)
+{
+    Fetched fetched;
+    auto *const easy = curl_easy_init();
+    const auto url = fmt::format("http://{}{}", toString(agent), target);
+    auto *headers =
+        curl_slist_append(nullptr, fmt::format("Oriolelever-Deadline-Ms: {}", deadlineMs).c_str());
+    if (!key.empty()) {
+        headers = curl_slist_append(headers, ("Idempotency-Key: " + key).c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, takeBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &fetched);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, takeHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &fetched);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 10'000L);
+    if (!body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.c_str());
+    }
+    fetched.code = curl_easy_perform(easy);
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &fetched.status);
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(easy);
+    return fetched;
+}
+
+asio::ip::tcp::socket connectTo(asio::io_context &context, const Endpoint &endpoint)
+{
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::address_v4::loopback(), endpoint.port});
+    return socket;
+}
+
+void send(asio::ip::tcp::socket &socket, const std::string &text)
+{
+    asio::error_code ignored;
+    asio::write(socket, asio::buffer(text), ignored);
+}
+
+std::string receiveAll(asio::ip::tcp::socket &socket)
+{
+    std::string text;
+    asio::error_code ignored;
+    asio::read(socket, asio::dynamic_buffer(text), ignored);
+    return text;
+}
+
+template<typename Read, typename Value>
+auto eventually(Read read, const Value &expected)
+{
+    auto value = read();
+    for (int i = 0; i < 400 && value != expected; ++i) {
+        std::this_thread::sleep_for(5ms);
+        value = read();
+    }
+    return value;
+}
+
+class RequestsTest : public testing::Test
+{
+protected:
+    lab::HttpServerFigures run(const lab::HttpServerOptions &serverOptions, std::uint64_t requests,
+                               lab::HttpCallersFigures &callers)
+    {
+        auto ledger = lab::makeRunLedger();
+        auto listening = serverOptions;
+        listening.listen = loopback();
+        lab::HttpServer server(listening, ledger);
+        EXPECT_TRUE(server.start());
+        RequestRunner agent(agentOptions("a", 1, server.endpoint()));
+        EXPECT_TRUE(agent.start());
+        lab::HttpCallers caller({.targets = {agent.listenEndpoint()},
+                                 .concurrency = 4,
+                                 .requests = requests,
+                                 .ledger = ledger});
+        caller.start();
+        caller.wait();
+        callers = caller.figures();
+        return server.figures();
+    }
+};
+
+} // namespace
+
+TEST_F(RequestsTest, AnswersComeWhole)
+{
+    lab::HttpCallersFigures callers;
+    const auto server = run({.serviceTime = 1ms}, 200, callers);
+    EXPECT_EQ(callers.sent, 200U);
+    EXPECT_EQ(callers.answeredWhole, 200U);
+    EXPECT_EQ(callers.wrongAnswers, 0U);
+    EXPECT_EQ(server.ranTwice, 0U);
+    EXPECT_LE(server.mostRunning, 2U);
+}
+
+TEST_F(RequestsTest, FaultyServerNeverDoublesAndNothingIsLost)
+{
+    lab::HttpCallersFigures callers;
+    const auto server = run({.serviceTime = 1ms,
+                             .lateTime = 30ms,
+                             .faults = {.shed = 0.05,
+                                        .crash = 0.05,
+                                        .late = 0.02,
+                                        .truncated = 0.05,
+                                        .crossed = 0.05,
+                                        .doubled = 0.05}},
+                            300, callers);
+    EXPECT_EQ(callers.answeredWhole + callers.refusedNotRun + callers.outcomeUnknown, callers.sent);
+    EXPECT_EQ(callers.lost, 0U);
+    EXPECT_EQ(callers.wrongAnswers, 0U);
+    EXPECT_EQ(callers.falseRefusals, 0U);
+    EXPECT_EQ(callers.cut, 0U);
+    EXPECT_EQ(server.ranTwice, 0U);
+    EXPECT_GT(callers.answeredWhole, 200U);
+}
+
+TEST_F(RequestsTest, LargeAnswerIsStreamedWhole)
+{
+    Agent agent;
+    const auto answer = fetch(agent.runner.listenEndpoint(), "/scan?bytes=3000000", "k");
+    EXPECT_EQ(answer.code, CURLE_OK);
+    EXPECT_EQ(answer.body, lab::expectedBody("k", 3'000'000));
+    EXPECT_EQ(answer.headers["Oriolelever-Outcome"], "answered");
+}
+
+TEST_F(RequestsTest, LargeAnswerThatBreaksIsNotTakenForWhole)
+{
+    Agent agent({.serviceTime = 1ms, .faults = {.truncated = 1.0}});
+    const auto answer = fetch(agent.runner.listenEndpoint(), "/scan?bytes=3000000", "k");
+    EXPECT_EQ(answer.code, CURLE_PARTIAL_FILE);
+}
+
+TEST_F(RequestsTest, ServerThatIsDownIsARefusalWithTheTimeToComeBack)
+{
+    Agent agent;
+    agent.server.stop();
+    const auto answer = fetch(agent.runner.listenEndpoint(), "/dossier", "k", "dossier");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.headers["Oriolelever-Outcome"], "refused-not-run");
+    EXPECT_EQ(answer.headers["Oriolelever-Code"], "401");
+    EXPECT_FALSE(answer.headers["Retry-After"].empty());
+}
+
+TEST_F(RequestsTest, StalledServerEndsAtTheDeadlineAsUnknown)
+{
+    Agent agent({.serviceTime = 1ms, .faults = {.stall = 1.0}});
+    const auto answer = fetch(agent.runner.listenEndpoint(), "/dossier", "", "dossier", 80);
+    EXPECT_EQ(answer.status, 504);
+    EXPECT_EQ(answer.headers["Oriolelever-Outcome"], "outcome-unknown");
+    EXPECT_EQ(eventually([&] { return agent.server.figures().cancelled; }, 1U), 1U);
+}
+
+TEST_F(RequestsTest, CallerThatHangsUpCancelsTheRun)
+{
+    Agent agent({.serviceTime = 10s});
+    asio::io_context context;
+    auto caller = connectTo(context, agent.runner.listenEndpoint());
+    send(caller, "GET /status HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(eventually([&] { return agent.server.figures().runs; }, 1U), 1U);
+    caller.close();
+    EXPECT_EQ(eventually([&] { return agent.server.figures().cancelled; }, 1U), 1U);
+}
+
+TEST_F(RequestsTest, SmugglingShapesNeverReachTheServer)
+{
+    Agent agent;
+    const std::vector<std::string> shapes{
+        "POST /dossier HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /dossier HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+        "POST /dossier HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\nabcd",
+        "POST /dossier HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+        "POST /dossier HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n0\r\n\r\n",
+        "POST /dossier HTTP/1.1\r\nHost: a\r\nHost: b\r\nContent-Length: 1\r\n\r\na",
+        "GET /status HTTP/1.1\r\nHost: a\r\nX-Folded: a\r\n b: c\r\n\r\n",
+        "GET /status HTTP/1.1\r\nHost : a\r\n\r\n",
+        "GET http://other/ HTTP/1.1\r\nHost: a\r\n\r\n",
+        "TRACE /status HTTP/1.1\r\nHost: a\r\n\r\n",
+        "GET /status HTTP/1.1\r\nHost: a\r\nX-Large: " + std::string(100'000, 'x') + "\r\n\r\n",
+    };
+    for (const auto &shape : shapes) {
+        asio::io_context context;
+        auto caller = connectTo(context, agent.runner.listenEndpoint());
+        send(caller, shape);
+        const auto answer = receiveAll(caller);
+        EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 400")) << shape.substr(0, 80) << answer;
+    }
+    EXPECT_EQ(agent.server.figures().received, 0U);
+}
+
+TEST_F(RequestsTest, RepetitionThroughAnotherAgentFindsTheFirstAnswer)
+{
+    Cluster cluster(3);
+    cluster.waitForRecovery();
+    const auto key = lab::makeKey(1);
+    const auto first = fetch(cluster.endpoint(0), "/dossier", key, "dossier");
+    ASSERT_EQ(first.status, 200) << first.headers.at("Oriolelever-Reason");
+    const auto second = fetch(cluster.endpoint(1), "/dossier", key, "dossier");
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(second.body, first.body);
+    EXPECT_EQ(cluster.runs(), 1U);
+}
+
+TEST_F(RequestsTest, RepetitionAfterTheAgentsRestartFindsTheFirstAnswer)
+{
+    Cluster cluster(3);
+    cluster.waitForRecovery();
+    const auto key = lab::makeKey(2);
+    ASSERT_EQ(fetch(cluster.endpoint(0), "/dossier", key, "dossier").status, 200);
+    cluster.restart(0);
+    const auto second = fetch(cluster.endpoint(0), "/dossier", key, "dossier");
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(cluster.runs(), 1U);
+}
+
+TEST_F(RequestsTest, KeyWithoutReachableHoldersIsRefusedAsNotRun)
+{
+    Cluster cluster(3);
+    cluster.waitForRecovery();
+    cluster.stop(1);
+    cluster.stop(2);
+    const auto answer = fetch(cluster.endpoint(0), "/dossier", lab::makeKey(3), "dossier");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.headers.at("Oriolelever-Reason"), "claim-unreachable");
+    EXPECT_EQ(cluster.runs(), 0U);
+}
+
+TEST_F(RequestsTest, UndatedKeyIsNotProvenFreshByAShortMemory)
+{
+    Cluster cluster(3);
+    cluster.waitForRecovery();
+    const auto answer = fetch(cluster.endpoint(0), "/dossier", "opaque", "dossier");
+    EXPECT_EQ(answer.headers.at("Oriolelever-Reason"), "not-proven-fresh");
+    EXPECT_GT(std::stoll(answer.headers.at("Oriolelever-Retry-After-Ms")), 500'000);
+    EXPECT_EQ(cluster.runs(), 0U);
+}
+
+TEST_F(RequestsTest, RequestIsHandedOverWhenTheServerIsDown)
+{
+    Cluster cluster(3);
+    cluster.waitForRecovery();
+    cluster.stopServer(0);
+    const auto answer = fetch(cluster.endpoint(0), "/dossier", lab::makeKey(4), "dossier");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(cluster.runs(), 1U);
+}
+
+TEST_F(RequestsTest, DrainUnderLoadCutsNothing)
+{
+    Cluster cluster(3);
+    cluster.waitForRecovery();
+    lab::HttpCallers callers({.targets = cluster.endpoints(), .concurrency = 6, .ledger = cluster.ledger});
+    callers.start();
+    for (std::size_t i = 0; i < 3; ++i) {
+        cluster.drainAndRestart(i);
+        callers.waitForAnswers(100 * (i + 1));
+    }
+    callers.stop();
+    const auto figures = callers.figures();
+    EXPECT_EQ(figures.cut, 0U);
+    EXPECT_EQ(figures.lost, 0U);
+    EXPECT_EQ(figures.outcomeUnknown, 0U);
+    EXPECT_EQ(figures.wrongAnswers, 0U);
+    EXPECT_EQ(figures.falseRefusals, 0U);
+    EXPECT_EQ(cluster.ranTwice(), 0U);
+}
