--- a/include/oriolelever/claim-link.h
+++ b/include/oriolelever/claim-link.h
@@ -1,4 +1,5 @@
-/// Claims on idempotency keys over streams: asks the holders of a key, answers as a holder, recovers after a start.
+/// Claims on idempotency keys over streams: asks the holders of a key, answers as a holder, recovers after a
+/// start.
 #pragma once
 
 #include <functional>
--- a/include/oriolelever/front.h
+++ b/include/oriolelever/front.h
@@ -63,6 +63,8 @@
 
     /// Opens the listener. Fails with `AddressInUse`.
     Result<void> open();
+    /// Takes no new connections; those that are open go on.
+    void stopAccepting();
     void close();
     Endpoint listenEndpoint() const;
 
--- a/include/oriolelever/upstream.h
+++ b/include/oriolelever/upstream.h
@@ -96,8 +96,8 @@
     void cancel(AttemptId attempt);
     /// Reads on after `answerBegan` or `answerPart`.
     void resume(AttemptId attempt);
-    /// The head, and the held part of the body, of an attempt that has an answer; valid during `answerBegan` and
-    /// `answerEnded`.
+    /// The head, and the held part of the body, of an attempt that has an answer; valid during `answerBegan`
+    /// and `answerEnded`.
     const AnswerHead &head(AttemptId attempt) const;
     const std::string &held(AttemptId attempt) const;
     /// True once the whole answer was received.
--- a/src/claim-link.cc
+++ b/src/claim-link.cc
@@ -368,7 +368,8 @@
         if (endpoint == endpoints.end()) {
             continue;
         }
-        streams.call(endpoint->second, "/settle", body, options.callTimeout, [](const Result<std::string> &) {});
+        streams.call(endpoint->second, "/settle", body, options.callTimeout,
+                     [](const Result<std::string> &) {});
     }
 }
 
--- a/src/front.cc
+++ b/src/front.cc
@@ -17,8 +17,8 @@
 IpAddress fromAsio(const asio::ip::address &address)
 {
     IpAddress out;
-    const auto v6 = address.is_v4() ? asio::ip::make_address_v6(asio::ip::v4_mapped, address.to_v4())
-                                    : address.to_v6();
+    const auto v6
+        = address.is_v4() ? asio::ip::make_address_v6(asio::ip::v4_mapped, address.to_v4()) : address.to_v6();
     const auto bytes = v6.to_bytes();
     std::copy(bytes.begin(), bytes.end(), out.bytes.begin());
     return out;
@@ -103,6 +103,7 @@
 struct Open
 {
     restinio::request_handle_t handle;
+    restinio::connection_id_t connection = 0;
     std::optional<KnownLength> knownLength;
     std::optional<Chunked> chunked;
 };
@@ -126,8 +127,8 @@
 bool isSmallNumber(const std::string &text)
 {
     constexpr std::size_t maxDigits = 18;
-    return !text.empty() && text.size() <= maxDigits &&
-        std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
+    return !text.empty() && text.size() <= maxDigits
+        && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
 }
 
 bool isPlainText(const std::string &text)
@@ -136,6 +137,14 @@
                        [](unsigned char c) { return c == '\t' || (c >= 0x20 && c != 0x7f); });
 }
 
+bool isToken(const std::string &name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+        return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+}
+
 } // namespace
 
 bool isAmbiguous(const CallerRequest &request)
@@ -145,18 +154,18 @@
         auto lower = name;
         std::transform(lower.begin(), lower.end(), lower.begin(), ::tolower);
         ++counts[lower];
-        if (!isPlainText(value)) {
+        if (!isToken(name) || !isPlainText(value)) {
             return true;
         }
     }
     const auto *const length = findHeader(request.headers, "Content-Length");
     const auto *const encoding = findHeader(request.headers, "Transfer-Encoding");
-    const bool repeated = counts["content-length"] > 1 || counts["transfer-encoding"] > 1 ||
-        counts["host"] > 1 || counts["idempotency-key"] > 1;
+    const bool repeated = counts["content-length"] > 1 || counts["transfer-encoding"] > 1
+        || counts["host"] > 1 || counts["idempotency-key"] > 1;
     const bool badLength = length != nullptr && !isSmallNumber(*length);
     const bool badEncoding = encoding != nullptr && (*encoding != "chunked" || length != nullptr);
-    const bool badTarget = request.target.empty() || request.target.front() != '/' ||
-        request.target.find(' ') != std::string::npos;
+    const bool badTarget = request.target.empty() || request.target.front() != '/'
+        || request.target.find(' ') != std::string::npos;
     return repeated || badLength || badEncoding || badTarget || !isPlainText(request.target);
 }
 
@@ -198,7 +207,9 @@
     }
     request.body = handle->body();
     request.caller = fromAsio(handle->remote_endpoint().address());
-    open[request.id].handle = handle;
+    auto &added = open[request.id];
+    added.handle = handle;
+    added.connection = handle->connection_id();
     byConnection[handle->connection_id()].insert(request.id);
     events.requestArrived(std::move(request));
 }
@@ -235,7 +246,7 @@
     if (known == open.end()) {
         return;
     }
-    const auto connection = known->second.handle->connection_id();
+    const auto connection = known->second.connection;
     open.erase(known);
     const auto entry = byConnection.find(connection);
     if (entry == byConnection.end()) {
@@ -273,29 +284,28 @@
     const auto address = options.listen.address.isV4()
         ? asio::ip::make_address_v4(asio::ip::v4_mapped, asio::ip::address_v6(options.listen.address.bytes))
         : asio::ip::address(asio::ip::address_v6(options.listen.address.bytes));
-    auto settings =
-        restinio::server_settings_t<FrontTraits>{}
-            .port(options.listen.port)
-            .address(address)
-            .request_handler([state](const restinio::request_handle_t &handle) {
-                state->accept(handle);
-                return restinio::request_accepted();
-            })
-            .connection_state_listener(listener)
-            .ip_blocker(std::make_shared<CallerBlocker>(state->connections))
-            .max_parallel_connections(options.maxConnections)
-            // A second read while a request runs is how a hang-up shows.
-            .max_pipelined_requests(2)
-            .read_next_http_message_timelimit(options.readLimit)
-            .write_http_response_timelimit(options.writeLimit)
-            .handle_request_timeout(options.handleLimit)
-            .incoming_http_msg_limits(limits)
-            .acceptor_post_bind_hook([state](asio::ip::tcp::acceptor &acceptor) {
-                state->port = acceptor.local_endpoint().port();
-            });
+    auto settings = restinio::server_settings_t<FrontTraits>{}
+                        .port(options.listen.port)
+                        .address(address)
+                        .request_handler([state](const restinio::request_handle_t &handle) {
+                            state->accept(handle);
+                            return restinio::request_accepted();
+                        })
+                        .connection_state_listener(listener)
+                        .ip_blocker(std::make_shared<CallerBlocker>(state->connections))
+                        .max_parallel_connections(options.maxConnections)
+                        // A second read while a request runs is how a hang-up shows.
+                        .max_pipelined_requests(2)
+                        .read_next_http_message_timelimit(options.readLimit)
+                        .write_http_response_timelimit(options.writeLimit)
+                        .handle_request_timeout(options.handleLimit)
+                        .incoming_http_msg_limits(limits)
+                        .acceptor_post_bind_hook([state](asio::ip::tcp::acceptor &acceptor) {
+                            state->port = acceptor.local_endpoint().port();
+                        });
     try {
-        state->server = std::make_unique<Server>(restinio::external_io_context(state->context),
-                                                 std::move(settings));
+        state->server
+            = std::make_unique<Server>(restinio::external_io_context(state->context), std::move(settings));
         state->server->open_sync();
     } catch (const std::exception &error) {
         return fail(Code::AddressInUse,
@@ -304,6 +314,13 @@
     return {};
 }
 
+void Front::stopAccepting()
+{
+    if (m_state->server != nullptr) {
+        m_state->server->close_sync();
+    }
+}
+
 void Front::close()
 {
     if (m_state->server == nullptr) {
@@ -399,7 +416,9 @@
     auto ending = std::move(*open);
     m_state->forget(request);
     // RESTinio closes the connection when a write notificator throws.
-    const auto closing = [](const asio::error_code &) { throw std::runtime_error("answer is broken"); };
+    const auto closing = [](const asio::error_code &) {
+        throw std::runtime_error("answer is broken");
+    };
     if (ending.chunked) {
         ending.chunked->flush(closing);
     } else {
--- a/src/request-runner.cc
+++ b/src/request-runner.cc
@@ -26,6 +26,7 @@
 constexpr std::size_t maxHandoverAnswer = 768 * 1024;
 constexpr std::size_t maxHandoverBody = 768 * 1024;
 constexpr milliseconds refusalMemory{200};
+constexpr milliseconds quietTime{100};
 constexpr std::uint32_t maintenanceTicks = 100;
 
 const Log &requestLog()
@@ -36,7 +37,8 @@
 
 bool isIdempotent(const std::string &method)
 {
-    return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "PUT" || method == "DELETE";
+    return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "PUT"
+        || method == "DELETE";
 }
 
 bool isKnownMethod(const std::string &method)
@@ -47,12 +49,25 @@
 // Headers that concern one connection only, or that the agent sets itself.
 bool isForwarded(const std::string &name)
 {
-    static const std::vector<std::string> own{
-        "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-        "Host", "Content-Length", "Expect", "Oriolelever-Request-Id", "Oriolelever-Deadline-Ms",
-        "Oriolelever-Outcome", "Oriolelever-Code", "Oriolelever-Reason", "Oriolelever-Not-Run"};
-    return std::none_of(own.begin(), own.end(),
-                        [&](const auto &header) { return findHeader({{name, {}}}, header) != nullptr; });
+    static const std::vector<std::string> own{"Connection",
+                                              "Keep-Alive",
+                                              "Proxy-Connection",
+                                              "TE",
+                                              "Trailer",
+                                              "Transfer-Encoding",
+                                              "Upgrade",
+                                              "Host",
+                                              "Content-Length",
+                                              "Expect",
+                                              "Oriolelever-Request-Id",
+                                              "Oriolelever-Deadline-Ms",
+                                              "Oriolelever-Outcome",
+                                              "Oriolelever-Code",
+                                              "Oriolelever-Reason",
+                                              "Oriolelever-Not-Run"};
+    return std::none_of(own.begin(), own.end(), [&](const auto &header) {
+        return findHeader({{name, {}}}, header) != nullptr;
+    });
 }
 
 HeaderList forwarded(const HeaderList &headers)
@@ -99,8 +114,8 @@
                                  {"code", static_cast<int>(end.outcome)},
                                  {"reason", toString(end.reason)},
                                  {"retryAfterMs", end.retryAfter.count()}}
-                      .dump() +
-        "\n";
+                      .dump()
+        + "\n";
     return answer;
 }
 
@@ -157,7 +172,7 @@
         Effects effects;
         decide(TimePoint::clock::now(), effects);
         for (const auto &effect : effects) {
-            std::visit([this](const auto &known) { execute(known); }, effect);
+            std::visit([this](const auto &known) { this->execute(known); }, effect);
         }
     }
 
@@ -192,7 +207,9 @@
     std::uint32_t ticks = 0;
     std::function<void()> drained;
     TimePoint drainStarted;
+    TimePoint lastArrival;
     bool draining = false;
+    bool closing = false; ///< Takes no new connections.
     std::thread thread;
     mutable std::mutex statusMutex;
     RequestsStatus status;
@@ -245,11 +262,24 @@
     claims->tick();
 }
 
+// First connections are told to close by their next answer, then no new ones are taken, then the last ones
+// end.
 void RequestRunner::State::checkDrained()
 {
-    const bool lingered = TimePoint::clock::now() - drainStarted >= options.linger;
-    if (draining && drained && lingered && gate.requests.empty() && carried.empty()) {
-        std::exchange(drained, nullptr)();
+    const auto now = TimePoint::clock::now();
+    if (!draining || now - drainStarted < options.linger) {
+        return;
+    }
+    if (!closing) {
+        closing = true;
+        lastArrival = now;
+        // Takes what waits in the listener's backlog; it would be reset.
+        context.poll();
+        front->stopAccepting();
+    }
+    const bool quiet = front->connections() == 0 || now - lastArrival >= quietTime;
+    if (drained && quiet && gate.requests.empty() && carried.empty()) {
+        streams->drain(std::exchange(drained, nullptr));
     }
 }
 
@@ -290,6 +320,7 @@
         return;
     }
     const auto now = TimePoint::clock::now();
+    lastArrival = now;
     auto &added = carried[request.id];
     const auto *const key = findHeader(request.headers, "Idempotency-Key");
     added.key = key == nullptr ? std::string() : *key;
@@ -409,17 +440,18 @@
         return;
     }
     const auto request = effect.request;
-    claims->start(known->key, request, known->outbound.deadline, [this, request](const ClaimOutcome &outcome) {
-        auto *const waiting = find(request);
-        if (waiting != nullptr && outcome.verdict == ClaimVerdict::Answered) {
-            waiting->head.status = outcome.answer.status;
-            waiting->head.headers = {{"Content-Type", outcome.answer.contentType}};
-            waiting->body = outcome.answer.body;
-        }
-        step([&](TimePoint now, Effects &effects) {
-            claimEnded(gate, request, outcome.verdict, outcome.retryAfter, now, effects);
-        });
-    });
+    claims->start(known->key, request, known->outbound.deadline,
+                  [this, request](const ClaimOutcome &outcome) {
+                      auto *const waiting = find(request);
+                      if (waiting != nullptr && outcome.verdict == ClaimVerdict::Answered) {
+                          waiting->head.status = outcome.answer.status;
+                          waiting->head.headers = {{"Content-Type", outcome.answer.contentType}};
+                          waiting->body = outcome.answer.body;
+                      }
+                      step([&](TimePoint now, Effects &effects) {
+                          claimEnded(gate, request, outcome.verdict, outcome.retryAfter, now, effects);
+                      });
+                  });
 }
 
 void RequestRunner::State::execute(const SettleClaim &effect)
@@ -465,9 +497,11 @@
     const auto *const known = find(request);
     const auto now = TimePoint::clock::now();
     const auto *const peer = choosePeer(now);
-    const bool possible = known != nullptr && peer != nullptr && known->outbound.body->size() <= maxHandoverBody;
+    const bool possible
+        = known != nullptr && peer != nullptr && known->outbound.body->size() <= maxHandoverBody;
     if (!possible) {
-        asio::post(context, [this, request] { handoverReplied(request, {}, nullptr, Code::PeerUnreachable); });
+        asio::post(context,
+                   [this, request] { handoverReplied(request, {}, nullptr, Code::PeerUnreachable); });
         return;
     }
     const auto left = std::chrono::floor<milliseconds>(known->outbound.deadline - now);
@@ -496,8 +530,8 @@
                   });
 }
 
-void RequestRunner::State::handoverReplied(RequestId request, const std::string &peer, const std::string *body,
-                                           Code error)
+void RequestRunner::State::handoverReplied(RequestId request, const std::string &peer,
+                                           const std::string *body, Code error)
 {
     auto *const known = find(request);
     proto::HandoverReply in;
--- a/src/request.cc
+++ b/src/request.cc
@@ -277,8 +277,8 @@
     }
     // Without an end of its claim the request may be a repetition of one that ran.
     const auto reason = state.phase == Phase::Claiming ? Reason::NotProvenFresh : Reason::DeadlinePassed;
-    finish(gate, state, Code::RefusedNotRun, reason,
-           ceilMs(expectedWait(gate, state.facts.urgency, now)), effects);
+    finish(gate, state, Code::RefusedNotRun, reason, ceilMs(expectedWait(gate, state.facts.urgency, now)),
+           effects);
 }
 
 } // namespace
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -95,8 +95,7 @@
     const auto connections = settings.count("server", "connection_limit");
     options.front.maxConnections = connections == 0 ? options.front.maxConnections : connections;
     const auto slots = settings.count("server", "slot_limit");
-    options.gate.limiter.slots =
-        slots == 0 ? options.gate.limiter.slots : static_cast<std::uint32_t>(slots);
+    options.gate.limiter.slots = slots == 0 ? options.gate.limiter.slots : static_cast<std::uint32_t>(slots);
     options.gate.queue.capacity = settings.count("requests", "queue_limit");
     options.gate.queue.callerCapacity = settings.count("requests", "caller_queue_limit");
     options.upstream.server = settings.address("server", "requests");
@@ -109,7 +108,8 @@
     return options;
 }
 
-std::vector<RequestPeer> peersFrom(const ClusterView &view, const std::string &service, const std::string &self)
+std::vector<RequestPeer> peersFrom(const ClusterView &view, const std::string &service,
+                                   const std::string &self)
 {
     std::vector<RequestPeer> peers;
     for (const auto &[name, entry] : view.nodes) {
--- a/src/upstream.cc
+++ b/src/upstream.cc
@@ -30,16 +30,15 @@
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
 std::string serialize(const ServerRequest &request, const Endpoint &server, TimePoint now)
 {
     const auto left = std::chrono::floor<std::chrono::milliseconds>(request.deadline - now).count();
-    std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.target,
-                                   toString(server));
+    std::string text
+        = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.target, toString(server));
     for (const auto &[name, value] : request.headers) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
@@ -312,8 +311,8 @@
     connection->unparsedBegin += parsed;
     const auto error = HTTP_PARSER_ERRNO(&parser);
     const bool malformed = (error != HPE_OK && error != HPE_PAUSED) || parser.upgrade != 0;
-    const bool oversized =
-        connection->headBytes > options.maxHeadBytes || connection->bodyBytes > options.maxAnswerBytes;
+    const bool oversized
+        = connection->headBytes > options.maxHeadBytes || connection->bodyBytes > options.maxAnswerBytes;
     if (malformed || oversized) {
         ++(malformed ? counters.malformed : counters.oversized);
         fail(connection, AttemptFailure::Broken);
