--- a/src/directory-tick.cc
+++ b/src/directory-tick.cc
@@ -10,8 +10,7 @@
 namespace {
 
 constexpr Duration sweepInterval = std::chrono::seconds(1);
-constexpr Duration hearsayTime
-    = std::chrono::seconds(60); ///< Life of entries of buckets that were granted away.
+constexpr Duration hearsayTime = std::chrono::minutes(25); ///< Life of copies and of entries granted away.
 constexpr std::size_t goneLimit = 40; ///< Flows in one message.
 
 void sendLoads(Directory &directory, TimePoint now, Effects &effects)
@@ -75,6 +74,9 @@
             continue;
         }
         uncountFlow(directory, current->second);
+        if (current->second.holder == directory.options.self && !current->second.closing) {
+            directory.copy.waiting.push_back({.caller = current->first, .ended = true});
+        }
         directory.flows.erase(current);
     }
 }
@@ -86,9 +88,7 @@
 void onTick(Directory &directory, TimePoint now, Effects &effects)
 {
     effects.clear();
-    if (now - directory.lastTick > directory.options.leaseTime) {
-        detail::dropGrants(directory);
-    }
+    detail::checkLease(directory, now);
     directory.lastTick = now;
     if (!directory.route) {
         detail::releaseHeld(directory, now, effects);
@@ -100,6 +100,7 @@
     }
     detail::sendLoads(directory, now, effects);
     detail::sendGone(directory, effects);
+    detail::sendCopies(directory, now, effects);
     detail::freeSilent(directory, now);
     detail::releaseHeld(directory, now, effects);
 }
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -113,6 +113,7 @@
     directory.lastLoad = now;
     directory.lastSweep = now;
     directory.warmth.grownAt = now;
+    directory.recovering = options.serverLivedOn;
     directory.warmth.share = options.warm ? 1.0 : Warmth::coldShare;
     directory.pace.filledAt = now;
     return directory;
@@ -129,11 +130,13 @@
     if (known == directory.flows.end() || known->second.holder != directory.options.self) {
         return;
     }
-    if (!known->second.closing) {
-        --directory.localFlows;
+    if (known->second.closing) {
+        return;
     }
+    --directory.localFlows;
     known->second.closing = true;
     known->second.lastSeen = now;
+    directory.copy.waiting.push_back({.caller = flow.caller, .ended = true});
     if (directory.route && !detail::ownsBucket(directory, known->second.bucket)) {
         directory.gone.push_back(flow.caller);
     }
