--- a/include/oriolelever/commands.h
+++ b/include/oriolelever/commands.h
@@ -9,6 +9,8 @@
 Command codesCommand();
 /// Validates settings files and tables.
 Command checkCommand();
+/// Service-level burn per service and target.
+Command burnCommand();
 /// Shows, exports and imports the operators' table, lists and undoes changes.
 Command tableCommand();
 /// Changes cells of the table.
--- /dev/null
+++ b/src/histogram.cc
@@ -0,0 +1,110 @@
+#include "oriolelever/histogram.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::uint32_t subBits = 4; ///< Each power of two has 2^subBits buckets.
+constexpr std::uint32_t subCount = 1U << subBits;
+
+} // namespace
+
+std::uint32_t bucketOf(std::chrono::microseconds latency)
+{
+    const auto value = static_cast<std::uint64_t>(std::max<std::int64_t>(latency.count(), 0));
+    if (value < subCount) {
+        return static_cast<std::uint32_t>(value);
+    }
+    const auto shift = static_cast<std::uint32_t>(std::bit_width(value)) - 1 - subBits;
+    return (shift + 1) * subCount + static_cast<std::uint32_t>((value >> shift) - subCount);
+}
+
+std::chrono::microseconds bucketBegin(std::uint32_t bucket)
+{
+    if (bucket < subCount) {
+        return std::chrono::microseconds(bucket);
+    }
+    const std::uint32_t shift = bucket / subCount - 1;
+    return std::chrono::microseconds(static_cast<std::int64_t>(bucket % subCount + subCount) << shift);
+}
+
+void record(LatencyHistogram &histogram, std::chrono::microseconds latency)
+{
+    ++histogram.counts[bucketOf(latency)];
+    ++histogram.total;
+    histogram.largest = std::max(histogram.largest, latency);
+}
+
+void merge(LatencyHistogram &into, const LatencyHistogram &from)
+{
+    for (const auto &[bucket, count] : from.counts) {
+        into.counts[bucket] += count;
+    }
+    into.total += from.total;
+    into.largest = std::max(into.largest, from.largest);
+}
+
+std::chrono::microseconds quantileOf(const LatencyHistogram &histogram, double quantile)
+{
+    const auto wanted
+        = static_cast<std::uint64_t>(std::ceil(quantile * static_cast<double>(histogram.total)));
+    std::uint64_t seen = 0;
+    for (const auto &[bucket, count] : histogram.counts) {
+        seen += count;
+        if (seen >= wanted) {
+            return std::min(histogram.largest, bucketBegin(bucket + 1) - std::chrono::microseconds(1));
+        }
+    }
+    return histogram.largest;
+}
+
+std::uint64_t countAbove(const LatencyHistogram &histogram, std::chrono::microseconds limit)
+{
+    std::uint64_t above = 0;
+    for (auto entry = histogram.counts.rbegin(); entry != histogram.counts.rend(); ++entry) {
+        const auto last
+            = std::min(histogram.largest, bucketBegin(entry->first + 1) - std::chrono::microseconds(1));
+        if (last <= limit) {
+            break;
+        }
+        above += entry->second;
+    }
+    return above;
+}
+
+nlohmann::json encodeHistogram(const LatencyHistogram &histogram)
+{
+    auto counts = nlohmann::json::array();
+    for (const auto &[bucket, count] : histogram.counts) {
+        counts.push_back({bucket, count});
+    }
+    return {{"counts", counts}, {"largest_us", histogram.largest.count()}};
+}
+
+LatencyHistogram decodeHistogram(const nlohmann::json &json)
+{
+    constexpr std::uint32_t maxBucket = 60 * subCount;
+    LatencyHistogram histogram;
+    if (!json.is_object() || !json.contains("counts") || !json["counts"].is_array()) {
+        return histogram;
+    }
+    for (const auto &item : json["counts"]) {
+        const bool pair = item.is_array() && item.size() == 2 && item[0].is_number_unsigned()
+            && item[1].is_number_unsigned();
+        if (!pair || item[0].get<std::uint64_t>() >= maxBucket) {
+            continue;
+        }
+        histogram.counts[item[0].get<std::uint32_t>()] += item[1].get<std::uint64_t>();
+        histogram.total += item[1].get<std::uint64_t>();
+    }
+    if (json.contains("largest_us") && json["largest_us"].is_number_integer()) {
+        histogram.largest = std::chrono::microseconds(json["largest_us"].get<std::int64_t>());
+    }
+    return histogram;
+}
+
+} // namespace oriolelever
--- a/src/main.cc
+++ b/src/main.cc
@@ -5,6 +5,7 @@
 int main(int argc, char **argv)
 {
     const auto commands = std::to_array<oriolelever::Command>({
+        oriolelever::burnCommand(),
         oriolelever::checkCommand(),
         oriolelever::codesCommand(),
         oriolelever::drainCommand(),
