--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -28,22 +28,15 @@
 // the smaller id while neither holds the other's.
 bool shouldGrant(const Directory &directory, ServerId id, const PeerState &peer, BucketIndex bucket)
 {
+    if (directory.recovering && !directory.recovered) {
+        return false;
+    }
     if (!ownsBucket(directory, bucket)) {
         return true;
     }
     return !peer.granted[bucket] && !wins(directory, id);
 }
 
-void grantAway(Directory &directory, PeerState &peer, BucketIndex bucket)
-{
-    setGranted(directory, peer, bucket, false);
-    if (ownsBucket(directory, bucket)) {
-        peer.asking[bucket] = {};
-    } else {
-        peer.asking.erase(bucket);
-    }
-}
-
 NotesByBucket collectNotes(Directory &directory, ServerId asker, const std::vector<bool> &granted,
                            const std::vector<bool> &asked, bool recovers)
 {
@@ -54,11 +47,13 @@
             continue;
         }
         const bool atAsker = entry.holder == asker;
-        if (!granted[entry.bucket] && !(recovers && atAsker)) {
+        const bool recovered = recovers && atAsker && !entry.closing;
+        if (!granted[entry.bucket] && !recovered) {
             continue;
         }
         const bool local = entry.holder == self;
-        notes[entry.bucket].push_back({.caller = caller, .holder = entry.holder, .certain = local});
+        notes[entry.bucket].push_back(
+            {.caller = caller, .holder = entry.holder, .certain = local, .closing = entry.closing});
         if (granted[entry.bucket] && !local) {
             entry.certain = false;
         }
@@ -132,7 +127,7 @@
         asked[bucket] = true;
         granted[bucket] = shouldGrant(directory, from, peer, bucket);
         if (granted[bucket]) {
-            grantAway(directory, peer, bucket);
+            forgetBucket(directory, bucket);
         }
     }
     const auto notes = collectNotes(directory, from, granted, asked, ask.recovers);
@@ -149,10 +144,14 @@
 {
     for (const auto &note : section.flows) {
         const bool here = note.holder == directory.options.self;
-        if (here && !directory.recovering) {
+        if (here && (!directory.recovering || note.closing)) {
             continue;
         }
         putFlow(directory, note.caller, note.holder, note.certain || here, now);
+        const auto entry = directory.flows.find(note.caller);
+        if (note.closing && entry->second.holder == note.holder) {
+            entry->second.closing = true;
+        }
     }
 }
 
@@ -180,11 +179,21 @@
         peer.asking.erase(open);
     } else if (ownsBucket(directory, section.bucket)) {
         open->second.denied = true;
+        setGranted(directory, peer, section.bucket, false);
     } else {
         peer.asking.erase(open);
     }
 }
 
+// Every reachable peer has answered every question at least once.
+bool heardAll(const Directory &directory)
+{
+    return std::all_of(directory.peers.begin(), directory.peers.end(), [](const auto &item) {
+        const auto &asking = item.second.asking;
+        return std::all_of(asking.begin(), asking.end(), [](const auto &open) { return open.second.denied; });
+    });
+}
+
 void takeAnswer(Directory &directory, ServerId from, PeerState &peer, const AnswerMessage &answer,
                 TimePoint now, Effects &effects)
 {
@@ -194,6 +203,7 @@
     for (const auto &section : answer.buckets) {
         takeSection(directory, peer, answer.sequence, section, now);
     }
+    directory.recovered = directory.recovered || heardAll(directory);
     const bool allTold = std::all_of(peer.asking.begin(), peer.asking.end(),
                                      [](const auto &item) { return item.second.sequence == 0; });
     if (allTold && !peer.asking.empty()) {
@@ -245,10 +255,7 @@
     }
     if (message.generation > peer.heardGeneration) {
         peer.heardGeneration = message.generation;
-        for (std::size_t bucket = 0; bucket < peer.granted.size(); ++bucket) {
-            setGranted(directory, peer, static_cast<BucketIndex>(bucket), false);
-        }
-        openAsks(directory, peer);
+        dropGrants(directory);
     }
     return true;
 }
@@ -275,6 +282,34 @@
     }
 }
 
+void forgetBucket(Directory &directory, BucketIndex bucket)
+{
+    const bool owned = ownsBucket(directory, bucket);
+    for (auto &[id, peer] : directory.peers) {
+        setGranted(directory, peer, bucket, false);
+        peer.asking.erase(bucket);
+        if (owned && peer.reachable) {
+            peer.asking[bucket] = {};
+            peer.askWait = Duration{0};
+        }
+    }
+}
+
+bool isVerifying(Directory &directory, BucketIndex bucket)
+{
+    return std::any_of(directory.peers.begin(), directory.peers.end(),
+                       [&](const auto &item) { return item.second.asking.contains(bucket); });
+}
+
+void startVerifying(Directory &directory, BucketIndex bucket)
+{
+    for (auto &[id, peer] : directory.peers) {
+        if (peer.reachable && peer.asking.try_emplace(bucket).second) {
+            peer.askWait = Duration{0};
+        }
+    }
+}
+
 void openAsks(Directory &directory, PeerState &peer)
 {
     if (!peer.reachable) {
@@ -290,6 +325,16 @@
     }
 }
 
+void checkLease(Directory &directory, TimePoint now)
+{
+    if (now - directory.lastTick <= directory.options.leaseTime) {
+        return;
+    }
+    dropGrants(directory);
+    directory.lastTick = now;
+    directory.lapsedUntil = now + directory.options.lapseTime;
+}
+
 void dropGrants(Directory &directory)
 {
     for (auto &[id, peer] : directory.peers) {
@@ -349,10 +394,7 @@
     if (from == directory.options.self) {
         return;
     }
-    if (now - directory.lastTick > directory.options.leaseTime) {
-        detail::dropGrants(directory);
-        directory.lastTick = now;
-    }
+    detail::checkLease(directory, now);
     auto &peer = detail::peerState(directory, from);
     if (!detail::acceptSender(directory, peer, message)) {
         return;
@@ -370,6 +412,9 @@
     case DirectoryMessageKind::Gone:
         detail::takeGone(directory, from, message.gone);
         break;
+    case DirectoryMessageKind::Copy:
+        detail::takeCopy(directory, from, message.copy, now, effects);
+        break;
     }
 }
 
