Agents compare with one balancer at a time, services are indexed, members are derived once a batch

It now asks one at a time, 5 s apart in a large fleet, and only what differs is sent; a balancer that does not answer is left out for 10 s. Answers no longer scan every node.

--- a/include/oriolelever/dissem.h
+++ b/include/oriolelever/dissem.h
@@ -77,6 +77,9 @@
         return m_tombstones;
     }
 
+    /// Names of the nodes that have announced `service`.
+    std::vector<std::string> nodesOf(const std::string &service) const;
+
     std::size_t size() const
     {
         return m_size;
@@ -96,6 +99,7 @@
     RecordVersion slotVersion(const Slot &slot) const;
     Record toRecord(const Slot &slot) const;
     void index(const Record &record, std::uint64_t key);
+    void indexService(const std::string &name);
 
     ClusterView m_view;
     std::map<RecordKey, RecordVersion> m_tombstones;
@@ -103,6 +107,8 @@
     std::vector<std::uint64_t> m_branches;
     std::vector<std::uint64_t> m_leaves;
     std::unordered_map<std::size_t, std::vector<Slot>> m_slots; ///< By leaf.
+    std::unordered_map<std::uint64_t, std::vector<const std::string *>>
+        m_nodesOf; ///< By hash of the service.
     std::size_t m_size = 0;
 };
 
@@ -150,6 +156,8 @@
     std::vector<std::uint64_t> wanted;
     std::vector<Record> records;
     std::vector<ZoneLoss> losses;
+    std::size_t members = 0; ///< Live members that the answering member knows.
+    std::uint64_t assigned = 0; ///< Digest of the members that an agent was told to attach to.
 };
 
 std::string encodeExchange(const Exchange &exchange);
--- a/include/oriolelever/monitor.h
+++ b/include/oriolelever/monitor.h
@@ -79,8 +79,9 @@
 /// Notes what a helper found.
 void noteProbe(Monitor &monitor, const std::string &name, bool reached, TimePoint now);
 
-/// The members that `self` pings: the next `count` in the ring of labels.
-std::vector<Target> successorsOf(std::span<const Member> members, const std::string &self, std::size_t count);
+/// The members that the one called `self` pings: the next `count` in the ring of labels.
+std::vector<Target> successorsOf(std::span<const Member> members, const std::string &zone,
+                                 const std::string &self, std::size_t count);
 
 /// Check whether a whole zone is lost, made once several of its nodes were found dead in a short time.
 struct ZoneCheck
--- a/include/oriolelever/records.h
+++ b/include/oriolelever/records.h
@@ -104,8 +104,9 @@
     }
 
     /// Live balancers by label, from the view.
-    const std::vector<Member> &members() const
+    const std::vector<Member> &members()
     {
+        refreshMembers();
         return m_members;
     }
 
@@ -151,6 +152,8 @@
     void scheduleExchange();
     void exchange();
     void exchangeWith(const Endpoint &peer, Exchange request, int messages);
+    void takeAnswer(const Endpoint &peer, const Exchange &answer, int messages);
+    void answerWithOwn(const Endpoint &peer, const Exchange &answer);
     void handleExchange(const std::string &body, const Streams::Reply &reply);
     Exchange answer(const Exchange &request);
     Exchange answerAgent(const Exchange &request);
@@ -184,6 +187,11 @@
     std::map<std::string, std::string> m_attachedServices; ///< Service of each attached agent.
     std::map<std::string, TimePoint> m_attachedHeard;
     std::vector<Member> m_attachments;
+    std::map<Endpoint, TimePoint> m_unreachable; ///< Balancers that did not answer this agent, and when.
+    std::size_t m_fleetSize = 0; ///< Members, as an agent was told.
+    std::uint64_t m_assigned = 0; ///< Digest of the balancers that this agent was told to attach to.
+    std::size_t m_turn = 0; ///< Attachment that is compared with next.
+    bool m_membersChanged = false;
     std::optional<Announcement> m_own;
     bool m_pushScheduled = false;
     bool m_notifyScheduled = false;
--- a/lab/fleet.cc
+++ b/lab/fleet.cc
@@ -126,14 +126,15 @@
             agents.push_back(m_nodes[agent].target);
         }
     }
-    setTargets(node.monitor, successorsOf(m_members, node.target.name, m_options.monitor.successors), agents,
+    setTargets(node.monitor,
+               successorsOf(m_members, node.zone, node.target.name, m_options.monitor.successors), agents,
                m_now);
 }
 
 std::vector<Target> Fleet::helpersOf(std::size_t index)
 {
     auto &node = m_nodes[index];
-    auto helpers = successorsOf(m_members, node.target.name, helperChoices / 2);
+    auto helpers = successorsOf(m_members, node.zone, node.target.name, helperChoices / 2);
     for (std::size_t i = 0; i < helperChoices / 2 && m_members.size() > helperChoices; ++i) {
         const auto &member = m_members[node.random() % m_members.size()];
         if (member.name != node.target.name) {
--- a/src/dissem.cc
+++ b/src/dissem.cc
@@ -166,6 +166,9 @@
 
 Result<bool> RecordTable::apply(const Record &record)
 {
+    if (record.key.kind == RecordKind::Node && record.deleted) {
+        return fail(Code::MessageMalformed, "node \"" + record.key.name + "\" cannot be deleted");
+    }
     const auto key = hashKey(record.key);
     const auto *const before = slot(key);
     const auto previous = before == nullptr ? RecordVersion{} : slotVersion(*before);
@@ -185,9 +188,41 @@
     if (!record.deleted) {
         m_tombstones.erase(record.key);
     }
+    if (record.key.kind == RecordKind::Node && !record.deleted) {
+        indexService(record.key.name);
+    }
     return true;
 }
 
+// Nodes are not taken out again: an entry whose node has left the service is skipped when it is read.
+void RecordTable::indexService(const std::string &name)
+{
+    const auto entry = m_view.nodes.find(name);
+    const auto &service = entry->second.announcement.service;
+    if (service.empty()) {
+        return;
+    }
+    auto &names = m_nodesOf[hashName(service)];
+    if (std::find(names.begin(), names.end(), &entry->first) == names.end()) {
+        names.push_back(&entry->first);
+    }
+}
+
+std::vector<std::string> RecordTable::nodesOf(const std::string &service) const
+{
+    std::vector<std::string> result;
+    const auto names = m_nodesOf.find(hashName(service));
+    if (names == m_nodesOf.end()) {
+        return result;
+    }
+    for (const auto *name : names->second) {
+        if (m_view.nodes.at(*name).announcement.service == service) {
+            result.push_back(*name);
+        }
+    }
+    return result;
+}
+
 std::optional<Record> RecordTable::find(std::uint64_t key) const
 {
     const auto *const found = slot(key);
@@ -276,10 +311,7 @@
             add(key.kind, key.name);
         }
     }
-    for (const auto &[name, entry] : view.nodes) {
-        if (entry.announcement.service != service) {
-            continue;
-        }
+    for (const auto &name : table.nodesOf(service)) {
         add(RecordKind::Node, name);
         add(RecordKind::Server, name);
     }
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -83,6 +83,8 @@
     message.set_from(exchange.from);
     message.set_service(exchange.service);
     message.set_root(exchange.root);
+    message.set_members(static_cast<std::uint32_t>(exchange.members));
+    message.set_assigned(exchange.assigned);
     message.mutable_branches()->Add(exchange.branches.begin(), exchange.branches.end());
     for (const auto &block : exchange.blocks) {
         auto &added = *message.add_blocks();
@@ -124,7 +126,9 @@
                       .from = message.from(),
                       .service = message.service(),
                       .root = message.root(),
-                      .branches = {message.branches().begin(), message.branches().end()}};
+                      .branches = {message.branches().begin(), message.branches().end()},
+                      .members = message.members(),
+                      .assigned = message.assigned()};
     for (const auto &block : message.blocks()) {
         exchange.blocks.push_back({block.branch(), {block.leaves().begin(), block.leaves().end()}});
     }
--- a/src/in-force.cc
+++ b/src/in-force.cc
@@ -28,6 +28,7 @@
 // Answers for this node and its agents, and asks the other members of the range through delegates.
 void Records::collectForce(const ForceQuestion &question, std::function<void(ForceReport)> done)
 {
+    refreshMembers();
     const auto gathering = std::make_shared<ForceGathering>(std::move(done));
     gathering->expect();
     ForceReport own;
--- a/src/members.cc
+++ b/src/members.cc
@@ -247,7 +247,8 @@
 std::vector<Target> Members::helpers() const
 {
     const auto &members = m_records->members();
-    auto helpers = successorsOf(members, m_records->options().name, helperChoices / 2);
+    auto helpers
+        = successorsOf(members, m_records->options().zone, m_records->options().name, helperChoices / 2);
     auto random = m_random;
     for (std::size_t i = 0; i < helperChoices / 2 && members.size() > helperChoices; ++i) {
         const auto &member = members[random() % members.size()];
@@ -295,7 +296,9 @@
     for (const auto &[name, endpoint] : m_records->attachedAgents()) {
         addLive(name, endpoint);
     }
-    setTargets(m_monitor, successorsOf(members, self, m_options.monitor.successors), agents, now);
+    setTargets(m_monitor,
+               successorsOf(members, m_records->options().zone, self, m_options.monitor.successors), agents,
+               now);
     for (const auto &name : m_deferred) {
         m_monitor.targets.erase(name);
     }
--- a/src/monitor.cc
+++ b/src/monitor.cc
@@ -131,12 +131,14 @@
     }
 }
 
-std::vector<Target> successorsOf(std::span<const Member> members, const std::string &self, std::size_t count)
+std::vector<Target> successorsOf(std::span<const Member> members, const std::string &zone,
+                                 const std::string &self, std::size_t count)
 {
-    const auto own = std::find_if(members.begin(), members.end(),
-                                  [&](const Member &member) { return member.name == self; });
+    const auto own
+        = std::lower_bound(members.begin(), members.end(), labelOf(zone, self),
+                           [](const Member &member, std::uint64_t label) { return member.label < label; });
     std::vector<Target> successors;
-    const auto start = own == members.end() ? 0 : static_cast<std::size_t>(own - members.begin()) + 1;
+    const auto start = static_cast<std::size_t>(own - members.begin());
     for (std::size_t i = 0; i < members.size() && successors.size() < count; ++i) {
         const auto &member = members[(start + i) % members.size()];
         if (member.name != self) {
--- a/src/records.cc
+++ b/src/records.cc
@@ -19,7 +19,8 @@
 constexpr int largeFleetFactor = 5;
 constexpr unsigned downPeerShare = 8; ///< One exchange in this many goes to a node that is down.
 constexpr std::chrono::milliseconds lastPushTime{200}; ///< For the last announcement to leave.
-constexpr std::chrono::seconds attachmentLimit{30}; ///< An agent not heard for this long is detached.
+constexpr std::chrono::seconds unreachableTime{10}; ///< Before an agent tries such a balancer again.
+constexpr std::chrono::seconds attachmentLimit{60}; ///< An agent not heard for this long is detached.
 
 const Log &recordsLog()
 {
@@ -192,7 +193,8 @@
     m_changed.push_back(record);
     m_pending.push_back({record, from});
     if (record.key.kind == RecordKind::Node) {
-        refreshMembers();
+        const auto role = view().nodes.at(record.key.name).announcement.role;
+        m_membersChanged = m_membersChanged || role == NodeRole::Balancer;
         noteOwn(record);
     }
     schedulePush();
@@ -255,6 +257,7 @@
 void Records::notify()
 {
     m_notifyScheduled = false;
+    refreshMembers();
     const auto changed = std::move(m_changed);
     m_changed.clear();
     for (const auto &subscriber : m_subscribers) {
@@ -264,6 +267,9 @@
 
 void Records::refreshMembers()
 {
+    if (!std::exchange(m_membersChanged, false)) {
+        return;
+    }
     m_members = liveMembers(view());
     startWatch();
 }
@@ -285,6 +291,7 @@
 void Records::push()
 {
     m_pushScheduled = false;
+    refreshMembers();
     const auto pending = std::move(m_pending);
     m_pending.clear();
     const auto losses = std::move(m_pendingLosses);
@@ -395,7 +402,7 @@
 
 void Records::scheduleExchange()
 {
-    const bool large = m_members.size() > smallFleet;
+    const bool large = std::max(m_members.size(), m_fleetSize) > smallFleet;
     const auto interval = m_options.exchangeInterval * (large ? largeFleetFactor : 1);
     const double spread = std::uniform_real_distribution<double>(0.75, 1.25)(m_random);
     m_exchangeTimer->expires_after(std::chrono::duration_cast<Duration>(interval * spread));
@@ -415,9 +422,7 @@
         const auto records = recordsForService(m_table, m_options.service);
         message.root = digestOf(records);
         message.service = m_options.service;
-        if (auto own = m_table.find(RecordKey{RecordKind::Node, m_options.name})) {
-            message.records.push_back(std::move(*own));
-        }
+        message.assigned = m_assigned;
     }
     return message;
 }
@@ -456,7 +461,9 @@
 {
     if (m_options.role == NodeRole::Agent) {
         attach();
-        for (const auto &member : m_attachments) {
+        if (!m_attachments.empty()) {
+            // One at a time: the first rounds reach all, later ones are repairs.
+            const auto &member = m_attachments[m_turn++ % m_attachments.size()];
             exchangeWith(member.control, openScoped(), maxMessagesPerExchange);
         }
         if (m_attachments.empty() && !m_options.seeds.empty()) {
@@ -482,11 +489,13 @@
 // Keeps attachments that are alive and fills the rest by the agent's own spread over the balancers it knows.
 void Records::attach()
 {
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(m_unreachable, [&](const auto &entry) { return now - entry.second > unreachableTime; });
     std::vector<Member> kept;
     for (const auto &attachment : m_attachments) {
         const auto found = std::find_if(m_members.begin(), m_members.end(),
                                         [&](const Member &member) { return member.name == attachment.name; });
-        if (found != m_members.end()) {
+        if (found != m_members.end() && !m_unreachable.contains(found->control)) {
             kept.push_back(*found);
         }
     }
@@ -497,7 +506,8 @@
         const auto &member = m_members[index];
         const bool known = std::any_of(kept.begin(), kept.end(),
                                        [&](const Member &other) { return other.name == member.name; });
-        if (!known) {
+        if (!known && !m_unreachable.contains(member.control)) {
+            meet(member.control);
             kept.push_back(member);
         }
     }
@@ -516,25 +526,56 @@
                             [&]() -> Result<void> {
                                 BOOST_LEAF_AUTO(text, std::move(result));
                                 BOOST_LEAF_AUTO(answer, decodeExchange(text));
-                                const auto before = m_table.root();
-                                applyAll(answer.records, answer.from);
-                                auto next = continueExchange(m_table, answer);
-                                const bool again = !next && answer.stage == ExchangeStage::Records
-                                    && m_table.root() != before;
-                                if (again) {
-                                    next = openExchange(m_table);
-                                }
-                                if (next && messages > 0) {
-                                    exchangeWith(peer, std::move(*next), messages - 1);
-                                }
+                                takeAnswer(peer, answer, messages);
                                 return {};
                             },
                             [&](const Error &error) {
+                                m_unreachable[peer] = std::chrono::steady_clock::now();
                                 recordsLog().debug("exchange with {} failed: {}", toString(peer), error.text);
                             });
                     });
 }
 
+void Records::takeAnswer(const Endpoint &peer, const Exchange &answer, int messages)
+{
+    const auto before = m_table.root();
+    applyAll(answer.records, answer.from);
+    if (m_options.role == NodeRole::Agent) {
+        m_fleetSize = answer.members;
+        m_assigned = answer.assigned;
+        answerWithOwn(peer, answer);
+        return;
+    }
+    auto next = continueExchange(m_table, answer);
+    const bool again = !next && answer.stage == ExchangeStage::Records && m_table.root() != before;
+    if (again) {
+        next = openExchange(m_table);
+    }
+    if (next && messages > 0) {
+        exchangeWith(peer, std::move(*next), messages - 1);
+    }
+}
+
+// A member that differs has sent all that concerns this agent: it lacks what is not among that.
+void Records::answerWithOwn(const Endpoint &peer, const Exchange &answer)
+{
+    const auto own = m_table.find(RecordKey{RecordKind::Node, m_options.name});
+    if (!own || answer.root == digestOf(recordsForService(m_table, m_options.service))) {
+        return;
+    }
+    const bool known = std::any_of(answer.records.begin(), answer.records.end(), [&](const Record &record) {
+        return record.key == own->key && record.version >= own->version;
+    });
+    if (known) {
+        return;
+    }
+    Exchange message;
+    message.from = m_options.name;
+    message.service = m_options.service;
+    message.records.push_back(*own);
+    pushTo(peer, std::move(message), 1);
+}
+
 void Records::handleExchange(const std::string &body, const Streams::Reply &reply)
 {
     handleError(
@@ -567,23 +608,32 @@
 // An agent's table is small: when it differs, the answer holds all that concerns it.
 Exchange Records::answerAgent(const Exchange &request)
 {
-    Exchange answer{.stage = request.stage, .from = m_options.name};
+    refreshMembers();
+    Exchange answer;
+    answer.stage = request.stage;
+    answer.from = m_options.name;
+    answer.members = m_members.size();
     const auto node = view().nodes.find(request.from);
     if (node != view().nodes.end()) {
         m_attachedAgents[request.from] = node->second.announcement.control;
         m_attachedServices[request.from] = request.service;
         m_attachedHeard[request.from] = std::chrono::steady_clock::now();
     }
+    if (request.stage != ExchangeStage::Root) {
+        return answer;
+    }
     const auto records = recordsForService(m_table, request.service);
-    if (request.stage == ExchangeStage::Root && request.root != digestOf(records)) {
+    answer.root = digestOf(records);
+    if (request.root != answer.root) {
         answer.records = records;
     }
-    if (request.stage == ExchangeStage::Root) {
-        for (const auto index : assignedMembers(m_members.size(), request.from, m_options.attachments)) {
-            if (auto record = m_table.find(RecordKey{RecordKind::Node, m_members[index].name})) {
-                answer.records.push_back(std::move(*record));
-            }
-        }
+    std::vector<Record> assigned;
+    for (const auto index : assignedMembers(m_members.size(), request.from, m_options.attachments)) {
+        assigned.push_back(*m_table.find(RecordKey{RecordKind::Node, m_members[index].name}));
+    }
+    answer.assigned = digestOf(assigned);
+    if (request.assigned != answer.assigned) {
+        answer.records.insert(answer.records.end(), assigned.begin(), assigned.end());
     }
     return answer;
 }
