--- a/src/placement.cc
+++ b/src/placement.cc
@@ -123,7 +123,7 @@
         .incarnation = announcement.incarnation,
         .zone = idOf<ZoneId>(announcement.zone),
         .state = announcement.state,
-        .weight = ZoneRow{}.weight,
+        .weight = static_cast<std::uint16_t>(ZoneRow{}.weight),
         .connectionLimit = announcement.connectionLimit,
     };
     const auto order = view.orders.find(announcement.name);
