--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -238,6 +238,7 @@
     BucketIndex bucket = 0;
     bool certain = false; ///< Known from the holder or by own placement, not by hearsay.
     bool closing = false;
+    bool copied = false; ///< Kept for the holder, in case its process starts anew.
 };
 
 /// A question about one bucket that is not yet answered.
@@ -266,6 +267,7 @@
     double share = 0;
     double placedSince = 0; ///< Flows placed there since its last load message.
     bool loadKnown = false;
+    TimePoint keeperUntil; ///< When this agent last was the one that keeps the peer's copies.
     bool died = false; ///< The roster last lost it as `Down`.
     TimePoint lostAt; ///< When the roster last lost it.
 };
--- a/lab/world-callers.cc
+++ b/lab/world-callers.cc
@@ -231,14 +231,26 @@
     }
     const bool repeatedOpen = packet.opens && packet.attempt <= flow.acknowledged;
     if (!repeatedOpen) {
-        resetCaller(world, packet.flow);
+        resetCaller(world, packet.flow, false);
     }
 }
 
-void resetCaller(World &world, std::uint64_t number)
+void resetCaller(World &world, std::uint64_t number, bool opens)
 {
+    auto &flow = world.flows[number];
     ++world.figures.resets;
-    breakFlow(world, world.flows[number]);
+    const bool udp = serviceOf(world, flow).protocol == Protocol::Udp;
+    if (!opens || udp || !flow.open) {
+        breakFlow(world, flow);
+        return;
+    }
+    if (flow.openedAt + world.trace.callerDelay < world.now) {
+        return; // The caller has its connection and ignores a late reset of an earlier SYN.
+    }
+    // The reset is there before the server's answer: the caller was refused.
+    flow.over = true;
+    world.hosts[flow.home].flows.erase(number);
+    --world.figures.flowsOpened;
 }
 
 void sampleImbalance(World &world)
--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -258,6 +258,7 @@
 
 void reachNode(World &world, const std::string &node, const Record &record)
 {
+    remember(world, record);
     const auto host = world.hostByName.find(node);
     if (host != world.hostByName.end()) {
         reachHost(world, host->second, record);
@@ -284,7 +285,6 @@
 {
     const auto record = orderRecord(world, event);
     world.orders[event.number] = {.record = record, .at = world.now};
-    remember(world, record);
     const bool ofZone = event.kind == EventKind::ZoneOut || event.kind == EventKind::ZoneReturn;
     if (ofZone) {
         noteZoneOrder(world, event);
--- a/lab/world-packets.cc
+++ b/lab/world-packets.cc
@@ -51,7 +51,8 @@
         world.hosts[index].held[verdict.held] = packet;
         return;
     case PacketAction::Reset:
-        world.after(world.trace.callerDelay, [&world, flow = packet.flow] { resetCaller(world, flow); });
+        world.after(world.trace.callerDelay,
+                    [&world, flow = packet.flow, opens = packet.opens] { resetCaller(world, flow, opens); });
         return;
     case PacketAction::Drop:
         return;
--- a/lab/world.h
+++ b/lab/world.h
@@ -192,7 +192,8 @@
 // Callers and servers (lab/world-callers.cc).
 void callerSends(World &world, std::uint64_t flow, std::size_t balancer, bool opens, bool closes);
 void deliverToServer(World &world, std::size_t host, const LabPacket &packet);
-void resetCaller(World &world, std::uint64_t flow);
+/// A reset arrives at the caller; `opens` says that it answers the first packet of the flow.
+void resetCaller(World &world, std::uint64_t flow, bool opens);
 /// Share of its full load that the host's server bears.
 double warmthOf(const World &world, const LabHost &host);
 bool mayTakeFlows(const World &world, const LabHost &host);
--- a/src/directory-copies.cc
+++ b/src/directory-copies.cc
@@ -10,23 +10,6 @@
 
 constexpr std::size_t copyLimit = 50; ///< Flows in one message.
 
-// The next reachable agent in the order of ids.
-ServerId nextAgent(const Directory &directory)
-{
-    const auto &servers = directory.route->servers;
-    const auto self = std::find_if(servers.begin(), servers.end(), [&](const RouteServer &server) {
-        return server.id == directory.options.self;
-    });
-    const auto first = static_cast<std::size_t>(self - servers.begin());
-    for (std::size_t i = 1; i <= servers.size(); ++i) {
-        const auto &server = servers[(first + i) % servers.size()];
-        if (server.id != directory.options.self && server.reachable()) {
-            return server.id;
-        }
-    }
-    return {};
-}
-
 void beginFullCopy(Directory &directory, ServerId keeper, TimePoint now)
 {
     auto &copy = directory.copy;
@@ -55,10 +38,25 @@
 
 } // namespace
 
+ServerId keeperOf(const ServiceRoute &route, ServerId server)
+{
+    const auto &servers = route.servers;
+    const auto next = std::upper_bound(servers.begin(), servers.end(), server,
+                                       [](ServerId id, const RouteServer &other) { return id < other.id; });
+    const auto first = static_cast<std::size_t>(next - servers.begin());
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto &candidate = servers[(first + i) % servers.size()];
+        if (candidate.id != server && candidate.reachable()) {
+            return candidate.id;
+        }
+    }
+    return {};
+}
+
 void sendCopies(Directory &directory, TimePoint now, Effects &effects)
 {
     auto &copy = directory.copy;
-    const auto keeper = nextAgent(directory);
+    const auto keeper = keeperOf(*directory.route, directory.options.self);
     if (!keeper) {
         copy.keeper = {};
         return;
@@ -98,6 +96,7 @@
     }
     for (const auto &caller : copy.callers) {
         putFlow(directory, caller, from, true, now);
+        directory.flows[caller].copied = directory.flows[caller].holder == from;
     }
     for (const auto &caller : copy.ended) {
         const auto known = directory.flows.find(caller);
--- a/src/directory-detail.h
+++ b/src/directory-detail.h
@@ -10,6 +10,8 @@
 /// This agent's own record in the current roster, or null.
 const RouteServer *ownRecord(const Directory &directory);
 bool ownsBucket(const Directory &directory, BucketIndex bucket);
+/// Every reachable peer has granted the bucket.
+bool holdsBucket(const Directory &directory, BucketIndex bucket);
 BucketIndex flowBucket(const Directory &directory, const Endpoint &caller);
 
 /// Puts a flow in; a flow of the local server is never moved by hearsay.
@@ -32,6 +34,8 @@
 void openAsks(Directory &directory, PeerState &peer);
 /// Sends the next attempt of the open questions to `peer` if its time has come.
 void sendAsk(Directory &directory, ServerId id, PeerState &peer, TimePoint now, Effects &effects);
+/// The agent that keeps the copies of `server`: the next reachable one in the order of ids.
+ServerId keeperOf(const ServiceRoute &route, ServerId server);
 /// Sends the next copies of local flows to the agent that keeps them.
 void sendCopies(Directory &directory, TimePoint now, Effects &effects);
 void takeCopy(Directory &directory, ServerId from, const CopyMessage &copy, TimePoint now, Effects &effects);
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -37,8 +37,25 @@
     return !peer.granted[bucket] && !wins(directory, id);
 }
 
+// An entry that is current enough to tell a restarted holder of it.
+bool tellsHolder(const Directory &directory, ServerId holder, const FlowEntry &entry, TimePoint now)
+{
+    constexpr Duration keeperGrace = std::chrono::seconds(15);
+    constexpr Duration hearsayGrace = std::chrono::seconds(60);
+    if (entry.closing) {
+        return false;
+    }
+    const auto &peer = directory.peers.at(holder);
+    const bool keeps = keeperOf(*directory.route, holder) == directory.options.self
+        || now - peer.keeperUntil < keeperGrace;
+    if (entry.copied && keeps) {
+        return true;
+    }
+    return ownsBucket(directory, entry.bucket) && (entry.certain || now - entry.lastSeen < hearsayGrace);
+}
+
 NotesByBucket collectNotes(Directory &directory, ServerId asker, const std::vector<bool> &granted,
-                           const std::vector<bool> &asked, bool recovers)
+                           const std::vector<bool> &asked, bool recovers, TimePoint now)
 {
     NotesByBucket notes;
     const auto self = directory.options.self;
@@ -47,7 +64,7 @@
             continue;
         }
         const bool atAsker = entry.holder == asker;
-        const bool recovered = recovers && atAsker && !entry.closing;
+        const bool recovered = recovers && atAsker && tellsHolder(directory, asker, entry, now);
         if (!granted[entry.bucket] && !recovered) {
             continue;
         }
@@ -111,7 +128,8 @@
     }
 }
 
-void takeAsk(Directory &directory, ServerId from, PeerState &peer, const AskMessage &ask, Effects &effects)
+void takeAsk(Directory &directory, ServerId from, PeerState &peer, const AskMessage &ask, TimePoint now,
+             Effects &effects)
 {
     if (!directory.route || ask.sequence <= peer.heardSequence) {
         return;
@@ -130,7 +148,7 @@
             forgetBucket(directory, bucket);
         }
     }
-    const auto notes = collectNotes(directory, from, granted, asked, ask.recovers);
+    const auto notes = collectNotes(directory, from, granted, asked, ask.recovers, now);
     AnswerWriter writer{.directory = directory, .to = from, .sequence = ask.sequence, .effects = effects};
     static const std::vector<FlowNote> none;
     for (const auto bucket : ask.buckets) {
@@ -401,7 +419,7 @@
     }
     switch (message.kind) {
     case DirectoryMessageKind::Ask:
-        detail::takeAsk(directory, from, peer, message.ask, effects);
+        detail::takeAsk(directory, from, peer, message.ask, now, effects);
         break;
     case DirectoryMessageKind::Answer:
         detail::takeAnswer(directory, from, peer, message.answer, now, effects);
--- a/src/directory-packets.cc
+++ b/src/directory-packets.cc
@@ -90,10 +90,7 @@
 bool localRoom(Directory &directory, TimePoint now)
 {
     const auto limit = localLimit(directory);
-    if (directory.localFlows >= limit) {
-        return false;
-    }
-    return takePace(directory.pace, fullRate(limit), now);
+    return directory.localFlows < limit && takePace(directory.pace, fullRate(limit), now);
 }
 
 double peerShare(const RouteServer &server, const PeerState &peer)
@@ -177,6 +174,9 @@
         directory.candidates[self].limit = 0;
         self = noCandidate;
     }
+    if (directory.localFlows < localLimit(directory)) {
+        return hold(directory, packet, now); // Only its pace keeps the local server from taking it.
+    }
     ++directory.counters.refusedNew;
     return reset(directory);
 }
@@ -242,7 +242,7 @@
         return reset(directory);
     }
     const auto bucket = flowBucket(directory, packet.flow.caller);
-    return mayPlace(directory, bucket) ? place(directory, packet, {}, now) : hold(directory, packet, now);
+    return holdsBucket(directory, bucket) ? place(directory, packet, {}, now) : hold(directory, packet, now);
 }
 
 Verdict decideAsOwner(Directory &directory, const PacketInfo &packet, TimePoint now)
@@ -256,7 +256,7 @@
         }
         return decideLostHolder(directory, packet, FlowEntry(known->second), now);
     }
-    if (mayPlace(directory, bucket)) {
+    if (holdsBucket(directory, bucket)) {
         return decideUnknown(directory, packet, {}, now);
     }
     if (const auto *const former = passTarget(directory, packet, bucket)) {
@@ -299,7 +299,7 @@
 {
     takeBack(directory, packet);
     const auto bucket = flowBucket(directory, packet.flow.caller);
-    if (ownsBucket(directory, bucket) && mayPlace(directory, bucket)
+    if (ownsBucket(directory, bucket) && holdsBucket(directory, bucket)
         && !directory.flows.contains(packet.flow.caller)) {
         return decideUnknown(directory, packet, packet.fromServer, now);
     }
@@ -312,6 +312,11 @@
     if (owner == nullptr) {
         return drop(directory, DropReason::ZoneOut);
     }
+    if (owner->id == packet.fromServer && holdsBucket(directory, bucket)) {
+        // The owner does not know yet that it is: this agent acts for it until it has granted the bucket
+        // away.
+        return decideAsOwner(directory, packet, now);
+    }
     if (owner->id == packet.fromServer && packet.hops >= passLimit) {
         return hold(directory, packet, now);
     }
--- a/src/directory-roster.cc
+++ b/src/directory-roster.cc
@@ -49,6 +49,9 @@
         if (server != nullptr && server->state == NodeState::Down) {
             directory.ownerDiedAt[bucket] = now;
         }
+        if (owner == directory.options.self) {
+            forgetBucket(directory, bucket);
+        }
         if (former == directory.options.self && owner) {
             gainers.insert(owner);
         }
@@ -91,6 +94,17 @@
     sendLoad(directory, id, false, effects);
 }
 
+// Remembers for whom this agent has kept copies until now.
+void noteKeeping(Directory &directory, const ServiceRoute &before, TimePoint now)
+{
+    const auto self = directory.options.self;
+    for (auto &[id, peer] : directory.peers) {
+        if (keeperOf(before, id) == self && keeperOf(*directory.route, id) != self) {
+            peer.keeperUntil = now;
+        }
+    }
+}
+
 void updatePeers(Directory &directory, TimePoint now, Effects &effects)
 {
     const auto &route = *directory.route;
@@ -159,7 +173,7 @@
     if (own == nullptr) {
         return;
     }
-    if (own->zoneOut && (ownBefore == nullptr || !ownBefore->zoneOut)) {
+    if (own->zoneOut && ownBefore != nullptr && !ownBefore->zoneOut) {
         giveUpFlows(directory);
     }
     if (own->state == NodeState::Down) {
@@ -193,6 +207,7 @@
         detail::resizeBuckets(directory);
     } else {
         gainers = detail::noteOwnerChanges(directory, *before, now);
+        detail::noteKeeping(directory, *before, now);
     }
     detail::updatePeers(directory, now, effects);
     detail::recountMissing(directory);
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -29,6 +29,11 @@
     return owner != nullptr && owner->id == directory.options.self;
 }
 
+bool holdsBucket(const Directory &directory, BucketIndex bucket)
+{
+    return directory.started && directory.missing[bucket] == 0;
+}
+
 BucketIndex flowBucket(const Directory &directory, const Endpoint &caller)
 {
     const auto &route = *directory.route;
@@ -144,7 +149,7 @@
 
 bool mayPlace(const Directory &directory, BucketIndex bucket)
 {
-    return directory.started && detail::ownsBucket(directory, bucket) && directory.missing[bucket] == 0;
+    return detail::ownsBucket(directory, bucket) && detail::holdsBucket(directory, bucket);
 }
 
 std::uint32_t localLimit(const Directory &directory)
