--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -420,7 +420,13 @@
 
 void refreshBalancer(World &world, std::size_t index, std::size_t host)
 {
+    constexpr Duration refreshInterval = std::chrono::milliseconds(100);
     const auto &teller = world.hosts[host];
+    auto &refreshedAt = world.balancers[index].refreshedAt[teller.service];
+    if (refreshedAt != TimePoint{} && world.now - refreshedAt < refreshInterval) {
+        return;
+    }
+    refreshedAt = world.now;
     const auto &view = teller.records.view;
     std::vector<Record> records;
     for (const auto &[name, entry] : view.nodes) {
--- a/lab/world.h
+++ b/lab/world.h
@@ -64,6 +64,7 @@
     bool paused = false;
     std::vector<std::function<void()>> waiting;
     std::map<std::uint64_t, RouteDecision> table; ///< Baseline: by flow.
+    std::map<std::string, TimePoint> refreshedAt; ///< By service.
     double controlBytes = 0;
 };
 
