--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -122,6 +122,7 @@
 {
     std::uint64_t sequence = 0;
     bool answer = false; ///< The receiver of a copy has it.
+    bool first = false; ///< Earlier copies of the sender are void.
     std::vector<Endpoint> callers; ///< Flows of the sender's server.
     std::vector<Endpoint> ended; ///< Flows that it no longer has.
 
@@ -217,6 +218,7 @@
     Duration verifyTime = std::chrono::seconds(1); ///< Peers are asked again before a reset after this.
     Duration copyDelay = std::chrono::milliseconds(100); ///< Longest time until a new flow is copied.
     Duration copyInterval = std::chrono::minutes(10); ///< Between full copies of the local flows.
+    Duration startGrace = std::chrono::seconds(5); ///< A new process does not reset before it has settled.
     Duration deadGrace = std::chrono::seconds(15); ///< Unknown flows of a lately dead owner are not reset.
     bool serverLivedOn = true; ///< The server may have flows from before this process started.
     bool warm = false; ///< The server is warm at start.
@@ -267,6 +269,7 @@
     double share = 0;
     double placedSince = 0; ///< Flows placed there since its last load message.
     bool loadKnown = false;
+    std::uint64_t copySequence = 0; ///< Of the last copy from the peer.
     TimePoint keeperUntil; ///< When this agent last was the one that keeps the peer's copies.
     bool died = false; ///< The roster last lost it as `Down`.
     TimePoint lostAt; ///< When the roster last lost it.
@@ -285,6 +288,9 @@
     std::deque<Item> waiting;
     std::vector<Item> sent; ///< Not yet answered.
     std::uint64_t sequence = 0;
+    bool first = false; ///< The next message begins a full copy.
+    bool unanswered = false; ///< `sent` is on its way.
+    Incarnation keeperIncarnation = 0;
     TimePoint sentAt;
     TimePoint completeAt; ///< When a full copy was last begun.
 };
@@ -326,6 +332,7 @@
     Warmth warmth;
     Pace pace;
     std::mt19937_64 random;
+    TimePoint startedAt;
     TimePoint lastTick;
     TimePoint lapsedUntil; ///< Packets that arrive before this may have waited during a pause.
     TimePoint lastLoad;
@@ -361,6 +368,8 @@
 
 /// The agent may place new flows of the bucket: it owns it and every reachable peer has granted it.
 bool mayPlace(const Directory &directory, BucketIndex bucket);
+/// Copies new flows at once from now on; the process may stop as soon as `isCopied`.
+void prepareStop(Directory &directory);
 /// Every flow of the local server is known to another agent, so that the process can be replaced.
 bool isCopied(const Directory &directory);
 /// Flows that the local server bears now.
--- a/lab/replay.cc
+++ b/lab/replay.cc
@@ -95,7 +95,7 @@
         restartAgent(world, world.hostByName.at(event.name), true);
         return;
     case EventKind::RestartAgent:
-        restartAgent(world, world.hostByName.at(event.name), false);
+        restartAgentGracefully(world, world.hostByName.at(event.name), 0);
         return;
     case EventKind::RestartBalancer:
         restartBalancer(world, world.balancerByName.at(event.name));
--- a/lab/world-callers.cc
+++ b/lab/world-callers.cc
@@ -54,6 +54,9 @@
         return;
     }
     world.hosts[flow.home].flows.erase(static_cast<std::uint64_t>(&flow - world.flows.data()));
+    if (flow.closing) {
+        return;
+    }
     switch (causeOf(world, flow)) {
     case Cause::Change:
         ++world.figures.brokenByChange;
@@ -149,6 +152,16 @@
     noteColdLoad(world, host);
 }
 
+// The last packet of a flow has arrived.
+void endIfClosing(LabHost &host, LabFlow &flow, const LabPacket &packet)
+{
+    if (!flow.closing || packet.attempt < flow.attempts) {
+        return;
+    }
+    flow.over = true;
+    host.flows.erase(packet.flow);
+}
+
 void sampleAnswer(World &world, LabHost &host)
 {
     constexpr double warmMillis = 5;
@@ -191,16 +204,7 @@
                            .opens = opens || udp,
                            .closes = closes && !udp,
                            .balancer = balancer};
-    if (closes) {
-        // Callers do not send after the end of a flow; UDP has no packet for it.
-        world.after(std::chrono::milliseconds(50), [&world, number] {
-            auto &ended = world.flows[number];
-            if (!ended.over && ended.home != noHost) {
-                world.hosts[ended.home].flows.erase(number);
-            }
-            ended.over = true;
-        });
-    }
+    flow.closing = flow.closing || closes;
     sendAttempt(world, packet, 0);
 }
 
@@ -227,6 +231,7 @@
     }
     if (flow.home == index && flow.homeLife == host.serverLife) {
         flow.acknowledged = std::max(flow.acknowledged, packet.attempt);
+        endIfClosing(host, flow, packet);
         return;
     }
     const bool repeatedOpen = packet.opens && packet.attempt <= flow.acknowledged;
@@ -260,7 +265,9 @@
         double weight = 0;
         double largest = 0;
         for (const auto &host : world.hosts) {
-            if (host.service != service.name || !mayTakeFlows(world, host)) {
+            // A server that turned cold under its load takes no share until it is warm.
+            const bool turnedCold = !host.coldByStart && warmthOf(world, host) < 1.0;
+            if (host.service != service.name || !mayTakeFlows(world, host) || turnedCold) {
                 continue;
             }
             const auto &zone = world.zones.at(host.zone);
--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -326,6 +326,22 @@
     });
 }
 
+void restartAgentGracefully(World &world, std::size_t index, int tries)
+{
+    constexpr int tryLimit = 1000;
+    auto &host = world.hosts[index];
+    if (!host.alive || host.paused) {
+        return;
+    }
+    if (isCopied(host.directory) || tries >= tryLimit) {
+        restartAgent(world, index, false);
+        return;
+    }
+    prepareStop(host.directory);
+    world.after(std::chrono::milliseconds(1),
+                [&world, index, tries] { restartAgentGracefully(world, index, tries + 1); });
+}
+
 void restartBalancer(World &world, std::size_t index)
 {
     auto &balancer = world.balancers[index];
--- a/lab/world.h
+++ b/lab/world.h
@@ -41,6 +41,7 @@
     bool countable = false; ///< Offered while some server could take it.
     bool aroundZone = false;
     bool open = false;
+    bool closing = false; ///< The caller has sent its last packet.
     bool over = false;
     std::size_t home = noHost; ///< Host whose server has the flow.
     std::uint64_t homeLife = 0;
@@ -177,6 +178,8 @@
 void announceDown(World &world, LabHost &host);
 void takeOrder(World &world, const Event &event);
 void restartAgent(World &world, std::size_t host, bool serverToo);
+/// Restarts the agent once its flows are copied, as a planned restart does.
+void restartAgentGracefully(World &world, std::size_t host, int tries);
 void restartBalancer(World &world, std::size_t balancer);
 void crashHost(World &world, std::size_t host);
 void pauseNode(World &world, const std::string &name);
--- a/src/directory-codec.cc
+++ b/src/directory-codec.cc
@@ -94,6 +94,7 @@
 {
     out.set_sequence(copy.sequence);
     out.set_answer(copy.answer);
+    out.set_first(copy.first);
     for (const auto &caller : copy.callers) {
         out.add_callers(encodeCaller(caller));
     }
@@ -191,6 +192,7 @@
     BOOST_LEAF_AUTO(ended, takeCallers(part.ended()));
     return CopyMessage{.sequence = part.sequence(),
                        .answer = part.answer(),
+                       .first = part.first(),
                        .callers = std::move(callers),
                        .ended = std::move(ended)};
 }
--- a/src/directory-copies.cc
+++ b/src/directory-copies.cc
@@ -14,8 +14,12 @@
 {
     auto &copy = directory.copy;
     copy.keeper = keeper;
+    copy.keeperIncarnation = directory.peers[keeper].incarnation;
+    copy.first = true;
+    ++copy.sequence;
     copy.completeAt = now;
     copy.sent.clear();
+    copy.unanswered = false;
     copy.waiting.clear();
     for (const auto &[caller, entry] : directory.flows) {
         if (entry.holder == directory.options.self && !entry.closing) {
@@ -30,12 +34,41 @@
     copy.sentAt = now;
     DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
     message.copy.sequence = copy.sequence;
+    message.copy.first = copy.first;
     for (const auto &item : copy.sent) {
         (item.ended ? message.copy.ended : message.copy.callers).push_back(item.caller);
     }
     sendMessage(directory, copy.keeper, std::move(message), effects);
 }
 
+void keepCopies(Directory &directory, ServerId from, const CopyMessage &copy, TimePoint now)
+{
+    if (copy.first) {
+        absl::erase_if(directory.flows, [&](const auto &item) {
+            const auto &entry = item.second;
+            return entry.copied && entry.holder == from && !ownsBucket(directory, entry.bucket);
+        });
+    }
+    for (const auto &caller : copy.callers) {
+        putFlow(directory, caller, from, true, now);
+        directory.flows[caller].copied = directory.flows[caller].holder == from;
+    }
+    for (const auto &caller : copy.ended) {
+        const auto known = directory.flows.find(caller);
+        if (known != directory.flows.end() && known->second.holder == from) {
+            eraseFlow(directory, caller);
+        }
+    }
+}
+
+void answerCopy(Directory &directory, ServerId to, std::uint64_t sequence, Effects &effects)
+{
+    DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
+    message.copy.sequence = sequence;
+    message.copy.answer = true;
+    sendMessage(directory, to, std::move(message), effects);
+}
+
 } // namespace
 
 ServerId keeperOf(const ServiceRoute &route, ServerId server)
@@ -61,17 +94,19 @@
         copy.keeper = {};
         return;
     }
-    if (keeper != copy.keeper || now - copy.completeAt > directory.options.copyInterval) {
+    const bool changed
+        = keeper != copy.keeper || directory.peers[keeper].incarnation != copy.keeperIncarnation;
+    if (changed || now - copy.completeAt > directory.options.copyInterval) {
         beginFullCopy(directory, keeper, now);
     }
-    if (!copy.sent.empty()) {
+    if (copy.unanswered) {
         if (now - copy.sentAt >= directory.options.askRetry) {
             sendBatch(directory, now, effects);
         }
         return;
     }
     const bool due = copy.waiting.size() >= copyLimit || now - copy.sentAt >= directory.options.copyDelay;
-    if (copy.waiting.empty() || !due) {
+    if (!copy.first && (copy.waiting.empty() || !due)) {
         return;
     }
     const auto count = std::min(copyLimit, copy.waiting.size());
@@ -79,6 +114,7 @@
     copy.sent.assign(copy.waiting.begin(), end);
     copy.waiting.erase(copy.waiting.begin(), end);
     ++copy.sequence;
+    copy.unanswered = true;
     sendBatch(directory, now, effects);
 }
 
@@ -90,31 +126,31 @@
     if (copy.answer) {
         if (from == directory.copy.keeper && copy.sequence == directory.copy.sequence) {
             directory.copy.sent.clear();
+            directory.copy.unanswered = false;
+            directory.copy.first = false;
             sendCopies(directory, now, effects);
         }
         return;
     }
-    for (const auto &caller : copy.callers) {
-        putFlow(directory, caller, from, true, now);
-        directory.flows[caller].copied = directory.flows[caller].holder == from;
+    auto &peer = directory.peers[from];
+    if (copy.sequence > peer.copySequence) {
+        peer.copySequence = copy.sequence;
+        keepCopies(directory, from, copy, now);
     }
-    for (const auto &caller : copy.ended) {
-        const auto known = directory.flows.find(caller);
-        if (known != directory.flows.end() && known->second.holder == from) {
-            eraseFlow(directory, caller);
-        }
-    }
-    DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
-    message.copy.sequence = copy.sequence;
-    message.copy.answer = true;
-    sendMessage(directory, from, std::move(message), effects);
+    answerCopy(directory, from, copy.sequence, effects);
 }
 
 } // namespace detail
 
+void prepareStop(Directory &directory)
+{
+    directory.options.copyDelay = Duration{0};
+}
+
 bool isCopied(const Directory &directory)
 {
-    return directory.copy.waiting.empty() && directory.copy.sent.empty();
+    const auto &copy = directory.copy;
+    return copy.waiting.empty() && !copy.unanswered && !copy.first;
 }
 
 } // namespace oriolelever
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -41,7 +41,6 @@
 bool tellsHolder(const Directory &directory, ServerId holder, const FlowEntry &entry, TimePoint now)
 {
     constexpr Duration keeperGrace = std::chrono::seconds(15);
-    constexpr Duration hearsayGrace = std::chrono::seconds(60);
     if (entry.closing) {
         return false;
     }
@@ -51,7 +50,7 @@
     if (entry.copied && keeps) {
         return true;
     }
-    return ownsBucket(directory, entry.bucket) && (entry.certain || now - entry.lastSeen < hearsayGrace);
+    return ownsBucket(directory, entry.bucket);
 }
 
 NotesByBucket collectNotes(Directory &directory, ServerId asker, const std::vector<bool> &granted,
@@ -269,6 +268,7 @@
         peer.incarnation = message.fromIncarnation;
         peer.heardSequence = 0;
         peer.heardGeneration = 0;
+        peer.copySequence = 0;
         peer.loadKnown = false;
     }
     if (message.generation > peer.heardGeneration) {
--- a/src/directory-packets.cc
+++ b/src/directory-packets.cc
@@ -204,7 +204,11 @@
         directory.verifiedAt[bucket] = now;
         startVerifying(directory, bucket);
     }
-    return isVerifying(directory, bucket) ? hold(directory, packet, now) : reset(directory);
+    if (isVerifying(directory, bucket)) {
+        return hold(directory, packet, now);
+    }
+    const bool settled = now - directory.startedAt >= directory.options.startGrace;
+    return settled ? reset(directory) : drop(directory, DropReason::AwaitingHolder);
 }
 
 // An agent that may still place flows of the bucket, or null.
--- a/src/directory-roster.cc
+++ b/src/directory-roster.cc
@@ -37,6 +37,7 @@
 {
     std::set<ServerId> gainers;
     const auto &route = *directory.route;
+    std::vector<bool> gained(route.owners.size(), false);
     for (std::size_t i = 0; i < route.owners.size(); ++i) {
         const auto bucket = static_cast<BucketIndex>(i);
         const auto former = ownerId(before, bucket);
@@ -51,11 +52,18 @@
         }
         if (owner == directory.options.self) {
             forgetBucket(directory, bucket);
+            gained[bucket] = true;
         }
         if (former == directory.options.self && owner) {
             gainers.insert(owner);
         }
     }
+    // What is known by hearsay from an earlier time is told afresh.
+    absl::erase_if(directory.flows, [&](const auto &item) {
+        const auto &entry = item.second;
+        return gained[entry.bucket] && !entry.certain && !entry.copied
+            && entry.holder != directory.options.self;
+    });
     return gainers;
 }
 
@@ -67,6 +75,7 @@
     peer.incarnation = incarnation;
     peer.heardSequence = 0;
     peer.heardGeneration = 0;
+    peer.copySequence = 0;
     peer.loadKnown = false;
 }
 
@@ -159,8 +168,10 @@
 // The zone of this agent has been taken out: its flows are given up.
 void giveUpFlows(Directory &directory)
 {
-    directory.flows.clear();
+    absl::erase_if(directory.flows,
+                   [&](const auto &item) { return item.second.holder == directory.options.self; });
     directory.localFlows = 0;
+    directory.copy = {.sequence = directory.copy.sequence};
     directory.recovering = false;
     directory.gone.clear();
     dropGrants(directory);
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -114,6 +114,7 @@
     Directory directory;
     directory.options = options;
     directory.random.seed(options.seed ^ options.self.value ^ options.incarnation);
+    directory.startedAt = now;
     directory.lastTick = now;
     directory.lastLoad = now;
     directory.lastSweep = now;
