--- a/include/oriolelever/requests.h
+++ b/include/oriolelever/requests.h
@@ -68,6 +68,8 @@
     explicit RequestRunner(RequestsOptions options);
     ~RequestRunner();
 
+    /// Tells outcome and time of each request of a caller, on the thread. Set before the start.
+    void onFinished(std::function<void(Code outcome, Duration took)> observer);
     /// Opens both listeners and starts the thread.
     Result<void> start();
     void setPeers(std::vector<RequestPeer> peers);
@@ -92,7 +94,7 @@
     Requests(const Settings &settings, Incarnation incarnation);
     ~Requests() override;
 
-    /// Finds "records" for peers and limits, and "admin" and "metrics" if they are there.
+    /// Finds "records" for peers and limits, and "admin", "metrics" and "levels" if they are there.
     Result<void> start(Kernel &kernel) override;
     void beginDrain() override;
     void drain(std::function<void()> done) override;
--- a/src/request-runner.cc
+++ b/src/request-runner.cc
@@ -126,6 +126,7 @@
     std::string key;
     Urgency urgency = Urgency::Urgent;
     std::uint64_t caller = 0;
+    TimePoint arrived{};
     Streams::Reply reply{nullptr}; ///< Of a request of another agent.
     bool handedOver = false;
     AnswerHead head;
@@ -191,6 +192,7 @@
     void publishStatus();
 
     RequestsOptions options;
+    std::function<void(Code outcome, Duration took)> finished;
     asio::io_context context;
     Gate gate;
     std::minstd_rand random;
@@ -322,6 +324,7 @@
     const auto now = TimePoint::clock::now();
     lastArrival = now;
     auto &added = carried[request.id];
+    added.arrived = now;
     const auto *const key = findHeader(request.headers, "Idempotency-Key");
     added.key = key == nullptr ? std::string() : *key;
     added.urgency = urgencyOf(request);
@@ -631,6 +634,9 @@
     if (known == nullptr) {
         return;
     }
+    if (finished && !known->handedOver) {
+        finished(effect.outcome, TimePoint::clock::now() - known->arrived);
+    }
     if (known->handedOver) {
         replyToAgent(*known, effect);
     } else if (known->streaming && effect.outcome == Code::Answered) {
@@ -677,6 +683,11 @@
     stop();
 }
 
+void RequestRunner::onFinished(std::function<void(Code outcome, Duration took)> observer)
+{
+    m_state->finished = std::move(observer);
+}
+
 Result<void> RequestRunner::start()
 {
     BOOST_LEAF_CHECK(m_state->open());
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -7,6 +7,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
+#include "oriolelever/levels.h"
 #include "oriolelever/metrics.h"
 #include "oriolelever/records.h"
 
@@ -181,6 +182,9 @@
 Result<void> Requests::start(Kernel &kernel)
 {
     m_state->kernel = &kernel;
+    if (auto *const levels = kernel.tryFind<Levels>("levels")) {
+        m_state->runner.onFinished([levels](Code outcome, Duration took) { levels->record(outcome, took); });
+    }
     BOOST_LEAF_CHECK(m_state->runner.start());
     m_state->records = kernel.tryFind<Records>("records");
     if (m_state->records != nullptr) {
--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -42,10 +42,13 @@
 
 struct Agent
 {
-    explicit Agent(lab::HttpServerOptions options = {.serviceTime = 1ms})
+    using Finished = std::function<void(Code outcome, Duration took)>;
+
+    explicit Agent(lab::HttpServerOptions options = {.serviceTime = 1ms}, Finished finished = {})
         : server(onLoopback(options), lab::makeRunLedger())
         , runner(agentOptions("a", 1, started(server)))
     {
+        runner.onFinished(std::move(finished));
         EXPECT_TRUE(runner.start());
     }
 
@@ -322,6 +325,16 @@
     EXPECT_GT(callers.answeredWhole, 80U);
 }
 
+TEST_F(RequestsTest, FinishedRequestsAreToldWithTheirTime)
+{
+    std::promise<std::pair<Code, Duration>> told;
+    Agent agent({.serviceTime = 20ms}, [&](Code outcome, Duration took) { told.set_value({outcome, took}); });
+    EXPECT_EQ(fetch(agent.runner.listenEndpoint(), "/dossier", "k", "dossier").status, 200);
+    const auto [outcome, took] = told.get_future().get();
+    EXPECT_EQ(outcome, Code::Answered);
+    EXPECT_GE(took, 20ms);
+}
+
 TEST_F(RequestsTest, LargeAnswerIsStreamedWhole)
 {
     Agent agent;
