--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -329,7 +329,7 @@
 {
     std::promise<std::pair<Code, Duration>> told;
     Agent agent({.serviceTime = 20ms}, [&](Code outcome, Duration took) { told.set_value({outcome, took}); });
-    EXPECT_EQ(fetch(agent.runner.listenEndpoint(), "/dossier", "k", "dossier").status, 200);
+    EXPECT_EQ(fetch(agent.runner.listenEndpoint(), "/scan", "k").status, 200);
     const auto [outcome, took] = told.get_future().get();
     EXPECT_EQ(outcome, Code::Answered);
     EXPECT_GE(took, 20ms);
