--- a/src/directory-roster.cc
+++ b/src/directory-roster.cc
@@ -37,6 +37,7 @@
 {
     std::set<ServerId> gainers;
     const auto &route = *directory.route;
+    std::vector<bool> gained(route.owners.size(), false);
     for (std::size_t i = 0; i < route.owners.size(); ++i) {
         const auto bucket = static_cast<BucketIndex>(i);
         const auto former = ownerId(before, bucket);
@@ -49,10 +50,20 @@
         if (server != nullptr && server->state == NodeState::Down) {
             directory.ownerDiedAt[bucket] = now;
         }
+        if (owner == directory.options.self) {
+            forgetBucket(directory, bucket);
+            gained[bucket] = true;
+        }
         if (former == directory.options.self && owner) {
             gainers.insert(owner);
         }
     }
+    // What is known by hearsay from an earlier time is told afresh.
+    absl::erase_if(directory.flows, [&](const auto &item) {
+        const auto &entry = item.second;
+        return gained[entry.bucket] && !entry.certain && !entry.copied
+            && entry.holder != directory.options.self;
+    });
     return gainers;
 }
 
@@ -64,6 +75,7 @@
     peer.incarnation = incarnation;
     peer.heardSequence = 0;
     peer.heardGeneration = 0;
+    peer.copySequence = 0;
     peer.loadKnown = false;
 }
 
@@ -91,6 +103,17 @@
     sendLoad(directory, id, false, effects);
 }
 
+// Remembers for whom this agent has kept copies until now.
+void noteKeeping(Directory &directory, const ServiceRoute &before, TimePoint now)
+{
+    const auto self = directory.options.self;
+    for (auto &[id, peer] : directory.peers) {
+        if (keeperOf(before, id) == self && keeperOf(*directory.route, id) != self) {
+            peer.keeperUntil = now;
+        }
+    }
+}
+
 void updatePeers(Directory &directory, TimePoint now, Effects &effects)
 {
     const auto &route = *directory.route;
@@ -145,8 +168,10 @@
 // The zone of this agent has been taken out: its flows are given up.
 void giveUpFlows(Directory &directory)
 {
-    directory.flows.clear();
+    absl::erase_if(directory.flows,
+                   [&](const auto &item) { return item.second.holder == directory.options.self; });
     directory.localFlows = 0;
+    directory.copy = {.sequence = directory.copy.sequence};
     directory.recovering = false;
     directory.gone.clear();
     dropGrants(directory);
@@ -159,7 +184,7 @@
     if (own == nullptr) {
         return;
     }
-    if (own->zoneOut && (ownBefore == nullptr || !ownBefore->zoneOut)) {
+    if (own->zoneOut && ownBefore != nullptr && !ownBefore->zoneOut) {
         giveUpFlows(directory);
     }
     if (own->state == NodeState::Down) {
@@ -193,6 +218,7 @@
         detail::resizeBuckets(directory);
     } else {
         gainers = detail::noteOwnerChanges(directory, *before, now);
+        detail::noteKeeping(directory, *before, now);
     }
     detail::updatePeers(directory, now, effects);
     detail::recountMissing(directory);
