Changes travel once along the dimensions of the hypercube; lab commands control and stability

The platform's watchers take turns 150 ms apart, a call that fails goes to another node of the same side, and comparisons 2 s apart repair the rest. Two commands of the test tool measure it.

--- a/include/oriolelever/dissem.h
+++ b/include/oriolelever/dissem.h
@@ -158,6 +158,7 @@
     std::vector<ZoneLoss> losses;
     std::size_t members = 0; ///< Live members that the answering member knows.
     std::uint64_t assigned = 0; ///< Digest of the members that an agent was told to attach to.
+    unsigned depth = 0; ///< Of a push: the receiver passes it on along the dimensions from here on.
 };
 
 std::string encodeExchange(const Exchange &exchange);
@@ -212,10 +213,56 @@
 bool isPlatformWatcher(std::span<const Member> members, const std::string &zone, const std::string &name,
                        std::size_t watchersPerZone);
 
-/// Indices of the neighbours of `self` in `labels` (ascending). One for each dimension of the hypercube that
-/// has nodes on the other side: the live node closest by XOR to the missing vertex. All others when there are
-/// at most `fullMeshLimit` nodes.
+/// Up to this many members, each sends to all others.
 constexpr std::size_t fullMeshLimit = 8;
+/// Dimensions of the hypercube: bits of a label.
+constexpr unsigned labelBits = 64;
+
+/// One dimension of the hypercube as seen from a label: the live members that share the first bits with the
+/// label and differ in the next one.
+struct CubeEdge
+{
+    std::size_t nearest = 0; ///< The one closest by XOR to the missing vertex on the other side.
+    std::size_t first = 0; ///< All of them are [first, last).
+    std::size_t last = 0;
+    unsigned dimension = 0; ///< The differing bit, from the left.
+    unsigned receiverDepth = 0; ///< Dimensions from here on are passed on by the receiver.
+};
+
+/// Edges of the node with label `own` in `labels` (ascending) along the dimensions from `depth` on. In a full
+/// mesh, one edge to each other member, for depth 0 only.
+std::vector<CubeEdge> hypercubeEdges(std::span<const std::uint64_t> labels, std::uint64_t own,
+                                     unsigned depth = 0);
+
+/// Indices of the nearest member of each edge of `self`.
 std::vector<std::size_t> hypercubeNeighbours(std::span<const std::uint64_t> labels, std::size_t self);
 
+/// Dimensions along which each change was already passed on by this node.
+struct Broadcasts
+{
+    struct Covered
+    {
+        unsigned depth = labelBits;
+        TimePoint at;
+    };
+
+    std::unordered_map<std::uint64_t, Covered> covered; ///< By hash of key and version.
+};
+
+/// Dimensions in [from, to).
+struct BroadcastPart
+{
+    unsigned from = 0;
+    unsigned to = 0;
+
+    bool isEmpty() const
+    {
+        return from >= to;
+    }
+};
+
+/// The part of a change that this node still has to pass on when it is told to from `depth` on. Forgets what
+/// is older than a minute.
+BroadcastPart takePart(Broadcasts &broadcasts, std::uint64_t change, unsigned depth, TimePoint now);
+
 } // namespace oriolelever
--- a/include/oriolelever/records.h
+++ b/include/oriolelever/records.h
@@ -25,6 +25,7 @@
 
 namespace detail {
 
+constexpr auto recordsPath = "/records";
 constexpr auto forcePath = "/in-force";
 
 } // namespace detail
@@ -37,6 +38,7 @@
     std::string service; ///< Of an agent; empty for a balancer.
     std::vector<Endpoint> seeds; ///< Processes to join through.
     std::chrono::milliseconds pushDelay{20}; ///< Changes within this time travel together.
+    std::chrono::milliseconds watcherTurn{150}; ///< Between the turns of the platform's watchers.
     std::chrono::milliseconds exchangeInterval{1000}; ///< Between comparisons with another process.
     std::chrono::milliseconds callTimeout{1000};
     std::chrono::milliseconds watchWait{20000}; ///< Longest wait of one watch of the platform.
@@ -128,27 +130,53 @@
     }
 
 private:
+    /// How a record came here.
+    enum class Origin {
+        Own, ///< Made here: spread to all.
+        Platform, ///< Spread to all, unless another watcher's broadcast comes first.
+        Push, ///< Passed on along the dimensions from `depth` on.
+        Repair, ///< By comparison: others find it the same way.
+    };
+
+    struct Source
+    {
+        Origin origin = Origin::Own;
+        std::string from; ///< Who sent it; empty for this process.
+        unsigned depth = 0;
+    };
+
+    /// A change to be passed on along the dimensions of `part`.
     struct Pending
     {
         Record record;
-        std::string from; ///< Who sent it; empty for this process.
+        std::optional<ZoneLoss> loss; ///< In place of a record.
+        BroadcastPart part;
+        TimePoint due;
+        bool waiting = false; ///< Dropped if another broadcast of it comes before `due`.
     };
 
-    using PendingLosses = std::vector<std::pair<ZoneLoss, std::string>>; ///< Each with who sent it.
+    /// A change to be told to the agents attached here.
+    struct AgentPending
+    {
+        Record record;
+        std::string from;
+    };
 
-    bool apply(const Record &record, const std::string &from);
-    void applyAll(const std::vector<Record> &records, const std::string &from);
-    void applyLosses(const std::vector<ZoneLoss> &losses, const std::string &from);
+    bool apply(const Record &record, const Source &source);
+    void applyAll(const std::vector<Record> &records, const Source &source);
+    void applyLosses(const std::vector<ZoneLoss> &losses, const Source &source);
+    void spread(const Record &record, const Source &source);
+    Duration watcherDelay(std::uint64_t change) const;
     void noteOwn(const Record &record);
     void notify();
     void refreshMembers();
     void schedulePush();
     void push();
+    std::vector<Pending> takeDue(TimePoint now);
     void pushAsAgent(const std::vector<Pending> &pending);
-    void pushChanges(const std::string &name, const Endpoint &peer, const std::vector<Pending> &pending,
-                     const PendingLosses &losses, const std::string &service);
-    std::vector<Member> neighbours() const;
-    void pushTo(const Endpoint &peer, Exchange message, std::size_t attempts);
+    void pushAlongEdges(const std::vector<Pending> &pending);
+    void pushToAgents();
+    void pushTo(std::vector<Endpoint> peers, const Exchange &message);
     void scheduleExchange();
     void exchange();
     void exchangeWith(const Endpoint &peer, Exchange request, int messages);
@@ -180,7 +208,9 @@
     std::vector<Subscriber> m_subscribers;
     std::vector<Record> m_changed; ///< Not yet told to subscribers.
     std::vector<Pending> m_pending; ///< Not yet sent to neighbours.
-    PendingLosses m_pendingLosses;
+    std::vector<AgentPending> m_agentPending;
+    std::vector<ZoneLoss> m_agentLosses;
+    Broadcasts m_broadcasts;
     std::deque<std::uint64_t> m_seenLosses;
     std::vector<Member> m_members;
     std::map<std::string, Endpoint> m_attachedAgents;
--- a/lab/commands.h
+++ b/lab/commands.h
@@ -16,5 +16,9 @@
 Command replayCommand();
 /// Replays many seeds of one case.
 Command sweepCommand();
+/// Measures the costs of control for one node.
+Command controlCommand();
+/// Compares ways to learn that a version is in force everywhere.
+Command stabilityCommand();
 
 } // namespace oriolelever::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -10,6 +10,8 @@
         oriolelever::lab::traceCommand(),
         oriolelever::lab::replayCommand(),
         oriolelever::lab::sweepCommand(),
+        oriolelever::lab::controlCommand(),
+        oriolelever::lab::stabilityCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
--- a/src/dissem.cc
+++ b/src/dissem.cc
@@ -380,56 +380,73 @@
     return static_cast<std::size_t>(self - first) < watchersPerZone;
 }
 
-std::vector<std::size_t> hypercubeNeighbours(std::span<const std::uint64_t> labels, std::size_t self)
+std::vector<CubeEdge> hypercubeEdges(std::span<const std::uint64_t> labels, std::uint64_t own, unsigned depth)
 {
-    std::vector<std::size_t> neighbours;
+    std::vector<CubeEdge> edges;
     if (labels.size() <= fullMeshLimit) {
-        for (std::size_t i = 0; i < labels.size(); ++i) {
-            if (i != self) {
-                neighbours.push_back(i);
+        for (std::size_t i = 0; i < labels.size() && depth == 0; ++i) {
+            if (labels[i] != own) {
+                edges.push_back({.nearest = i, .first = i, .last = i + 1, .receiverDepth = labelBits});
             }
         }
-        return neighbours;
+        return edges;
     }
-    // Halves the range that shares a prefix with this label; the closest node of each other half is a
-    // neighbour.
-    const auto own = labels[self];
-    std::size_t first = 0;
-    std::size_t last = labels.size();
-    for (int bit = 63; bit >= 0 && last - first > 1; --bit) {
-        const auto mask = std::uint64_t{1} << bit;
+    // Halves the range that shares a prefix with the label; each other half is an edge.
+    const auto splitAt = [&](std::size_t first, std::size_t last, std::uint64_t mask) {
         const auto begin = labels.begin() + static_cast<std::ptrdiff_t>(first);
         const auto end = labels.begin() + static_cast<std::ptrdiff_t>(last);
-        const auto split = static_cast<std::size_t>(
-            std::partition_point(begin, end, [&](std::uint64_t label) { return (label & mask) == 0; })
-            - labels.begin());
+        const auto split
+            = std::partition_point(begin, end, [&](std::uint64_t label) { return (label & mask) == 0; });
+        return static_cast<std::size_t>(split - labels.begin());
+    };
+    std::size_t first = 0;
+    std::size_t last = labels.size();
+    for (unsigned dimension = 0; dimension < labelBits && last > first; ++dimension) {
+        const auto mask = std::uint64_t{1} << (labelBits - 1 - dimension);
+        const auto split = splitAt(first, last, mask);
         const bool upper = (own & mask) != 0;
-        auto otherFirst = upper ? first : split;
-        auto otherLast = upper ? split : last;
+        CubeEdge edge{.first = upper ? first : split,
+                      .last = upper ? split : last,
+                      .dimension = dimension,
+                      .receiverDepth = dimension + 1};
         (upper ? first : last) = split;
-        if (otherFirst == otherLast) {
+        if (edge.first == edge.last || dimension < depth) {
             continue;
         }
-        const auto wanted = own ^ mask;
-        for (int low = bit - 1; low >= 0 && otherLast - otherFirst > 1; --low) {
-            const auto lowMask = std::uint64_t{1} << low;
-            const auto middle = static_cast<std::size_t>(
-                std::partition_point(labels.begin() + static_cast<std::ptrdiff_t>(otherFirst),
-                                     labels.begin() + static_cast<std::ptrdiff_t>(otherLast),
-                                     [&](std::uint64_t label) { return (label & lowMask) == 0; })
-                - labels.begin());
-            const bool takeUpper = (wanted & lowMask) != 0;
-            const bool upperEmpty = middle == otherLast;
-            const bool lowerEmpty = middle == otherFirst;
-            if (takeUpper ? !upperEmpty : lowerEmpty) {
-                otherFirst = middle;
-            } else {
-                otherLast = middle;
-            }
+        auto nearFirst = edge.first;
+        auto nearLast = edge.last;
+        for (auto low = mask >> 1; low != 0 && nearLast - nearFirst > 1; low >>= 1) {
+            const auto middle = splitAt(nearFirst, nearLast, low);
+            const bool takeUpper = (own & low) != 0 ? middle != nearLast : middle == nearFirst;
+            (takeUpper ? nearFirst : nearLast) = middle;
         }
-        neighbours.push_back(otherFirst);
+        edge.nearest = nearFirst;
+        edges.push_back(edge);
+    }
+    return edges;
+}
+
+std::vector<std::size_t> hypercubeNeighbours(std::span<const std::uint64_t> labels, std::size_t self)
+{
+    std::vector<std::size_t> neighbours;
+    for (const auto &edge : hypercubeEdges(labels, labels[self])) {
+        neighbours.push_back(edge.nearest);
     }
     return neighbours;
 }
 
+BroadcastPart takePart(Broadcasts &broadcasts, std::uint64_t change, unsigned depth, TimePoint now)
+{
+    constexpr std::size_t purgeSize = 4096;
+    if (broadcasts.covered.size() > purgeSize) {
+        std::erase_if(broadcasts.covered,
+                      [&](const auto &entry) { return now - entry.second.at > std::chrono::minutes(1); });
+    }
+    auto &covered = broadcasts.covered.try_emplace(change, Broadcasts::Covered{.at = now}).first->second;
+    const BroadcastPart part{.from = depth, .to = covered.depth};
+    covered.depth = std::min(covered.depth, depth);
+    covered.at = now;
+    return part;
+}
+
 } // namespace oriolelever
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -85,6 +85,7 @@
     message.set_root(exchange.root);
     message.set_members(static_cast<std::uint32_t>(exchange.members));
     message.set_assigned(exchange.assigned);
+    message.set_depth(exchange.depth);
     message.mutable_branches()->Add(exchange.branches.begin(), exchange.branches.end());
     for (const auto &block : exchange.blocks) {
         auto &added = *message.add_blocks();
@@ -128,7 +129,8 @@
                       .root = message.root(),
                       .branches = {message.branches().begin(), message.branches().end()},
                       .members = message.members(),
-                      .assigned = message.assigned()};
+                      .assigned = message.assigned(),
+                      .depth = message.depth()};
     for (const auto &block : message.blocks()) {
         exchange.blocks.push_back({block.branch(), {block.leaves().begin(), block.leaves().end()}});
     }
--- a/src/records.cc
+++ b/src/records.cc
@@ -12,11 +12,10 @@
 
 namespace {
 
-constexpr auto exchangePath = "/records";
-constexpr std::size_t maxSeenLosses = 256;
 constexpr int maxMessagesPerExchange = 64;
 constexpr std::size_t smallFleet = 32; ///< Members up to which exchanges run at the full rate.
-constexpr int largeFleetFactor = 5;
+constexpr int largeFleetFactor = 2;
+constexpr int agentFactor = 5; ///< Agents of a large fleet compare this many times less often.
 constexpr unsigned downPeerShare = 8; ///< One exchange in this many goes to a node that is down.
 constexpr std::chrono::milliseconds lastPushTime{200}; ///< For the last announcement to leave.
 constexpr std::chrono::seconds unreachableTime{10}; ///< Before an agent tries such a balancer again.
@@ -70,7 +69,7 @@
     m_platform = m_options.role == NodeRole::Balancer ? platform : nullptr;
     m_pushTimer = std::make_unique<asio::steady_timer>(context);
     m_exchangeTimer = std::make_unique<asio::steady_timer>(context);
-    streams.handle(exchangePath, [this](const std::string &body, const Streams::Reply &reply) {
+    streams.handle(detail::recordsPath, [this](const std::string &body, const Streams::Reply &reply) {
         handleExchange(body, reply);
     });
     streams.handle(detail::forcePath,
@@ -118,7 +117,7 @@
     }
     auto sink = [this, alive = m_alive](const std::vector<Record> &records) {
         if (*alive) {
-            applyAll(records, {});
+            applyAll(records, {.origin = Origin::Platform});
         }
     };
     m_watch = std::make_shared<PlatformWatch>(*m_context, *m_platform, m_options.watchWait, std::move(sink),
@@ -169,17 +168,17 @@
 
 void Records::publishLoss(const ZoneLoss &loss)
 {
-    applyLosses({loss}, {});
+    applyLosses({loss}, {.origin = Origin::Own});
 }
 
-void Records::applyAll(const std::vector<Record> &records, const std::string &from)
+void Records::applyAll(const std::vector<Record> &records, const Source &source)
 {
     for (const auto &record : records) {
-        apply(record, from);
+        apply(record, source);
     }
 }
 
-bool Records::apply(const Record &record, const std::string &from)
+bool Records::apply(const Record &record, const Source &source)
 {
     const bool applied
         = handleError([&] { return m_table.apply(record); },
@@ -187,11 +186,17 @@
                           recordsLog().warn("record {} refused: {}", record.key.name, error.text);
                           return false;
                       });
+    // What came by comparison still has to be passed on when a push asks for it.
+    if (applied || (source.origin == Origin::Push && m_table.version(record.key) == record.version)) {
+        spread(record, source);
+    }
     if (!applied) {
         return false;
     }
     m_changed.push_back(record);
-    m_pending.push_back({record, from});
+    if (!m_attachedAgents.empty()) {
+        m_agentPending.push_back({record, source.from});
+    }
     if (record.key.kind == RecordKind::Node) {
         const auto role = view().nodes.at(record.key.name).announcement.role;
         m_membersChanged = m_membersChanged || role == NodeRole::Balancer;
@@ -234,26 +239,6 @@
     });
 }
 
-void Records::applyLosses(const std::vector<ZoneLoss> &losses, const std::string &from)
-{
-    for (const auto &loss : losses) {
-        if (std::find(m_seenLosses.begin(), m_seenLosses.end(), loss.id) != m_seenLosses.end()) {
-            continue;
-        }
-        m_seenLosses.push_back(loss.id);
-        if (m_seenLosses.size() > maxSeenLosses) {
-            m_seenLosses.pop_front();
-        }
-        recordsLog().warn("zone {} declared lost", loss.zone);
-        m_pendingLosses.emplace_back(loss, from);
-        const auto before = m_pending.size();
-        applyAll(expandLoss(view(), loss), from);
-        // Each neighbour makes these out of the loss itself.
-        m_pending.resize(std::min(before, m_pending.size()));
-        schedulePush();
-    }
-}
-
 void Records::notify()
 {
     m_notifyScheduled = false;
@@ -274,136 +259,11 @@
     startWatch();
 }
 
-void Records::schedulePush()
-{
-    if (m_pushScheduled || m_pushTimer == nullptr) {
-        return;
-    }
-    m_pushScheduled = true;
-    m_pushTimer->expires_after(m_options.pushDelay);
-    m_pushTimer->async_wait([this, alive = m_alive](const asio::error_code &error) {
-        if (!error && *alive) {
-            push();
-        }
-    });
-}
-
-void Records::push()
-{
-    m_pushScheduled = false;
-    refreshMembers();
-    const auto pending = std::move(m_pending);
-    m_pending.clear();
-    const auto losses = std::move(m_pendingLosses);
-    m_pendingLosses.clear();
-    if (m_streams == nullptr || (pending.empty() && losses.empty())) {
-        return;
-    }
-    if (m_options.role == NodeRole::Agent) {
-        pushAsAgent(pending);
-        return;
-    }
-    for (const auto &neighbour : neighbours()) {
-        pushChanges(neighbour.name, neighbour.control, pending, losses, {});
-    }
-    for (const auto &[name, endpoint] : m_attachedAgents) {
-        pushChanges(name, endpoint, pending, losses, m_attachedServices[name]);
-    }
-}
-
-void Records::pushAsAgent(const std::vector<Pending> &pending)
-{
-    Exchange message;
-    message.from = m_options.name;
-    message.service = m_options.service;
-    for (const auto &entry : pending) {
-        if (entry.from.empty()) {
-            message.records.push_back(entry.record);
-        }
-    }
-    if (message.records.empty()) {
-        return;
-    }
-    for (const auto &member : m_attachments) {
-        pushTo(member.control, message, 1);
-    }
-    if (m_attachments.empty()) {
-        for (const auto &seed : m_options.seeds) {
-            pushTo(seed, message, 1);
-        }
-    }
-}
-
-// Nothing goes back to where it came from; an agent gets what concerns its service.
-void Records::pushChanges(const std::string &name, const Endpoint &peer, const std::vector<Pending> &pending,
-                          const PendingLosses &losses, const std::string &service)
-{
-    Exchange message;
-    message.from = m_options.name;
-    for (const auto &entry : pending) {
-        const bool concerned = service.empty() || concernsService(view(), entry.record, service);
-        if (concerned && entry.from != name) {
-            message.records.push_back(entry.record);
-        }
-    }
-    for (const auto &[loss, from] : losses) {
-        if (from != name) {
-            message.losses.push_back(loss);
-        }
-    }
-    if (!message.records.empty() || !message.losses.empty()) {
-        pushTo(peer, std::move(message), 1);
-    }
-}
-
-std::vector<Member> Records::neighbours() const
-{
-    std::vector<std::uint64_t> labels;
-    for (const auto &member : m_members) {
-        labels.push_back(member.label);
-    }
-    const auto label = labelOf(m_options.zone, m_options.name);
-    const auto self = std::lower_bound(labels.begin(), labels.end(), label);
-    if (self == labels.end() || *self != label) {
-        // Not yet announced: a few members spread what this process has.
-        const auto count = std::min(m_members.size(), fullMeshLimit);
-        return {m_members.begin(), m_members.begin() + static_cast<std::ptrdiff_t>(count)};
-    }
-    std::vector<Member> result;
-    for (const auto index : hypercubeNeighbours(labels, static_cast<std::size_t>(self - labels.begin()))) {
-        result.push_back(m_members[index]);
-    }
-    return result;
-}
-
-// The answer holds records of which the peer has later versions.
-void Records::pushTo(const Endpoint &peer, Exchange message, std::size_t attempts)
-{
-    auto body = encodeExchange(message);
-    m_streams->call(peer, exchangePath, std::move(body), m_options.callTimeout,
-                    [this, alive = m_alive, peer, message, attempts](Result<std::string> result) {
-                        if (!*alive) {
-                            return;
-                        }
-                        handleError(
-                            [&]() -> Result<void> {
-                                BOOST_LEAF_AUTO(text, std::move(result));
-                                BOOST_LEAF_AUTO(answer, decodeExchange(text));
-                                applyAll(answer.records, answer.from);
-                                return {};
-                            },
-                            [&](const Error &) {
-                                if (attempts > 0) {
-                                    pushTo(peer, message, attempts - 1);
-                                }
-                            });
-                    });
-}
-
 void Records::scheduleExchange()
 {
     const bool large = std::max(m_members.size(), m_fleetSize) > smallFleet;
-    const auto interval = m_options.exchangeInterval * (large ? largeFleetFactor : 1);
+    const auto factor = m_options.role == NodeRole::Agent ? agentFactor : largeFleetFactor;
+    const auto interval = m_options.exchangeInterval * (large ? factor : 1);
     const double spread = std::uniform_real_distribution<double>(0.75, 1.25)(m_random);
     m_exchangeTimer->expires_after(std::chrono::duration_cast<Duration>(interval * spread));
     m_exchangeTimer->async_wait([this, alive = m_alive](const asio::error_code &error) {
@@ -517,7 +377,7 @@
 void Records::exchangeWith(const Endpoint &peer, Exchange request, int messages)
 {
     request.from = m_options.name;
-    m_streams->call(peer, exchangePath, encodeExchange(request), m_options.callTimeout,
+    m_streams->call(peer, detail::recordsPath, encodeExchange(request), m_options.callTimeout,
                     [this, alive = m_alive, peer, messages](Result<std::string> result) {
                         if (!*alive) {
                             return;
@@ -539,7 +399,7 @@
 void Records::takeAnswer(const Endpoint &peer, const Exchange &answer, int messages)
 {
     const auto before = m_table.root();
-    applyAll(answer.records, answer.from);
+    applyAll(answer.records, {.origin = Origin::Repair, .from = answer.from});
     if (m_options.role == NodeRole::Agent) {
         m_fleetSize = answer.members;
         m_assigned = answer.assigned;
@@ -573,7 +433,7 @@
     message.from = m_options.name;
     message.service = m_options.service;
     message.records.push_back(*own);
-    pushTo(peer, std::move(message), 1);
+    pushTo({peer}, message);
 }
 
 void Records::handleExchange(const std::string &body, const Streams::Reply &reply)
@@ -589,8 +449,10 @@
 
 Exchange Records::answer(const Exchange &request)
 {
-    applyAll(request.records, request.from);
-    applyLosses(request.losses, request.from);
+    const auto origin = request.stage == ExchangeStage::Push ? Origin::Push : Origin::Repair;
+    const Source source{.origin = origin, .from = request.from, .depth = request.depth};
+    applyAll(request.records, source);
+    applyLosses(request.losses, source);
     if (!request.service.empty() && m_options.role == NodeRole::Balancer) {
         return answerAgent(request);
     }
