Daemons, emulated server, callers and fabric as commands

Cause: the parts had no processes. Change: the balancer and agent commands compose the services; the laboratory's server and drive commands emulate what stands around them.

--- a/include/oriolelever/commands.h
+++ b/include/oriolelever/commands.h
@@ -5,6 +5,10 @@
 
 namespace oriolelever {
 
+/// Runs the daemon of an entry host.
+Command balancerCommand();
+/// Runs the daemon beside a backend server.
+Command agentCommand();
 /// Prints the table of result codes.
 Command codesCommand();
 /// Validates settings files.
--- a/lab/commands.h
+++ b/lab/commands.h
@@ -5,6 +5,12 @@
 
 namespace oriolelever::lab {
 
+/// Backend server for a deployment run.
+Command serverCommand();
+/// Callers and fabric for a deployment run.
+Command driveCommand();
+/// Rate of control traffic of running processes.
+Command controlBytesCommand();
 /// Figures of a deployment run from its reports.
 Command summaryCommand();
 /// Stand-in of the platform's object API.
--- a/lab/flags.h
+++ b/lab/flags.h
@@ -8,3 +8,5 @@
 
 ABSL_DECLARE_FLAG(std::string, listen);
 ABSL_DECLARE_FLAG(std::uint64_t, seed);
+ABSL_DECLARE_FLAG(std::string, report);
+ABSL_DECLARE_FLAG(int, seconds);
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -6,6 +6,9 @@
 {
     const auto commands = std::to_array<oriolelever::Command>({
         oriolelever::lab::platformCommand(),
+        oriolelever::lab::controlBytesCommand(),
+        oriolelever::lab::driveCommand(),
+        oriolelever::lab::serverCommand(),
         oriolelever::lab::summaryCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
--- a/src/main.cc
+++ b/src/main.cc
@@ -5,6 +5,8 @@
 int main(int argc, char **argv)
 {
     const auto commands = std::to_array<oriolelever::Command>({
+        oriolelever::agentCommand(),
+        oriolelever::balancerCommand(),
         oriolelever::checkCommand(),
         oriolelever::codesCommand(),
     });
--- /dev/null
+++ b/test/node-test.cc
@@ -0,0 +1,26 @@
+#include "oriolelever/node.h"
+
+#include <gtest/gtest.h>
+
+using namespace oriolelever;
+
+TEST(NodeTest, StateIsAnnouncedOnlyWhenItChanges)
+{
+    const Announcement current{.name = "s1", .state = NodeState::Cold};
+    EXPECT_FALSE(announceNext(current, false, NodeState::Cold));
+    ASSERT_TRUE(announceNext(current, false, NodeState::Ready));
+    EXPECT_EQ(announceNext(current, false, NodeState::Ready)->state, NodeState::Ready);
+}
+
+TEST(NodeTest, LeavingNodeDoesNotBecomeReadyAgain)
+{
+    const Announcement current{.name = "s1", .state = NodeState::Draining};
+    EXPECT_FALSE(announceNext(current, true, NodeState::Ready));
+    EXPECT_TRUE(announceNext(current, true, NodeState::Down));
+}
+
+TEST(NodeTest, LaterStartHasALargerIncarnation)
+{
+    const auto now = std::chrono::system_clock::time_point(std::chrono::hours(1));
+    EXPECT_LT(incarnationAt(now), incarnationAt(now + std::chrono::microseconds(1)));
+}
