--- a/src/main.cc
+++ b/src/main.cc
@@ -9,6 +9,12 @@
         oriolelever::balancerCommand(),
         oriolelever::checkCommand(),
         oriolelever::codesCommand(),
+        oriolelever::drainCommand(),
+        oriolelever::setCommand(),
+        oriolelever::statusCommand(),
+        oriolelever::tableCommand(),
+        oriolelever::undrainCommand(),
+        oriolelever::zoneCommand(),
     });
     return oriolelever::runCommandLine("oriolelever", commands, argc, argv);
 }
