Settings: lists over several lines, lines that would be cut are refused; watch of several kinds

Cause: INIReader cuts lines after 198 characters in silence, so the operators' list of processes was cut; a comma in the query of a watch ended the connection, so that no zone order reached a balancer. Change: both are refused or encoded, each with a test.

--- a/src/platform.cc
+++ b/src/platform.cc
@@ -529,7 +529,8 @@
     const auto joined = fmt::format("{}", fmt::join(kinds, ","));
     m_transfers->submit({
         .method = "GET",
-        .path = fmt::format("/v1/watch?kinds={}&after={}&wait_ms={}", joined, after, wait.count()),
+        .path
+        = fmt::format("/v1/watch?kinds={}&after={}&wait_ms={}", fmt::join(kinds, "%2C"), after, wait.count()),
         .timeout = wait + m_transfers->options().timeout,
         .done = [subject = fmt::format("watch of \"{}\"", joined),
                  done = std::move(done)](const HttpAnswer &answer) { done(watchAnswer(answer, subject)); },
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -120,11 +120,15 @@
     return std::string(text.substr(first, last - first + 1));
 }
 
+// Longest line that INIReader takes whole.
+constexpr std::size_t maxLineLength = 198;
+
 struct SettingLine
 {
     int number = 0;
     std::string section;
     std::string key;
+    std::size_t longest = 0; ///< Characters of the longest line of its value.
 };
 
 // INIReader keeps no line numbers, so they are taken in a pass of their own.
@@ -136,6 +140,12 @@
     std::string section;
     for (int number = 1; std::getline(in, text); ++number) {
         const auto trimmed = trim(text);
+        const bool continuation
+            = !lines.empty() && !text.empty() && (text.front() == ' ' || text.front() == '\t');
+        if (continuation && !trimmed.empty()) {
+            lines.back().longest = std::max(lines.back().longest, text.size());
+            continue;
+        }
         if (trimmed.empty() || trimmed.front() == ';' || trimmed.front() == '#') {
             continue;
         }
@@ -143,7 +153,7 @@
             section = trimmed.substr(1, trimmed.find(']') - 1);
             continue;
         }
-        lines.push_back({number, section, trim(trimmed.substr(0, trimmed.find('=')))});
+        lines.push_back({number, section, trim(trimmed.substr(0, trimmed.find('='))), text.size()});
     }
     return lines;
 }
@@ -158,8 +168,12 @@
 {
     std::vector<std::string> items;
     while (!text.empty()) {
-        const auto comma = text.find(',');
-        items.push_back(trim(text.substr(0, comma)));
+        // INIReader joins the lines of a value by line feeds.
+        const auto comma = text.find_first_of(",\n");
+        const auto item = trim(text.substr(0, comma));
+        if (!item.empty()) {
+            items.push_back(item);
+        }
         text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
     }
     return items;
@@ -344,6 +358,15 @@
 Settings readSettings(const std::string &file, std::span<const SettingSpec> specs,
                       std::vector<Problem> &problems)
 {
+    const auto lines = settingLines(file);
+    for (const auto &line : lines) {
+        if (line.longest > maxLineLength) {
+            problems.push_back(
+                {file, line.number, joinKey(line.section, line.key),
+                 fmt::format("a line of {} characters", line.longest),
+                 fmt::format("lines of up to {} characters; indent the lines that follow", maxLineLength)});
+        }
+    }
     const INIReader reader(file);
     if (reader.ParseError() != 0) {
         const int line = std::max(reader.ParseError(), 0);
@@ -351,7 +374,6 @@
             {file, line, "file", "", "a readable file of \"key = value\" lines in [sections]"});
         return {};
     }
-    const auto lines = settingLines(file);
     for (const auto &line : lines) {
         if (findSpec(specs, line) != nullptr) {
             continue;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -125,6 +125,14 @@
     EXPECT_TRUE(watch(0, 10ms).value().restart);
 }
 
+TEST_F(PlatformClientTest, WatchOfSeveralKindsTellsChanges)
+{
+    write(zone("in"));
+    const auto batch = wait<WatchBatch>([&](auto done) { m_client.watch({"service", "zone"}, 0, 1s, done); });
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch.value().events.size(), 1U);
+}
+
 TEST_F(PlatformClientTest, OutageWritesNothing)
 {
     m_standin.setFaults({{"down", true}});
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -62,6 +62,27 @@
     EXPECT_EQ(settings.addresses("operator", "admin").size(), 2U);
 }
 
+TEST(SettingsTest, ListMayGoOnInIndentedLines)
+{
+    const TemporaryFile file("[process]\nrole = operator\n[platform]\nurl = http://127.0.0.1:80\n"
+                             "[operator]\nadmin = 127.0.0.1:1,\n    127.0.0.1:2\n    127.0.0.1:3\n");
+    std::vector<Problem> problems;
+    const auto settings = readSettings(file.path(), settingSpecs("operator"), problems);
+    EXPECT_TRUE(problems.empty());
+    EXPECT_EQ(settings.addresses("operator", "admin").size(), 3U);
+}
+
+// INIReader cuts longer lines without a word.
+TEST(SettingsTest, LineThatWouldBeCutIsAProblem)
+{
+    const TemporaryFile file("[process]\nrole = operator\nname = " + std::string(250, 'a')
+                             + "\n[platform]\nurl = http://127.0.0.1:80\n");
+    std::vector<Problem> problems;
+    readSettings(file.path(), settingSpecs("operator"), problems);
+    ASSERT_FALSE(problems.empty());
+    EXPECT_EQ(problems[0].value, "a line of 257 characters");
+}
+
 TEST(SettingsTest, UnreadableFileIsOneProblem)
 {
     std::vector<Problem> problems;
