--- a/lab/main.cc
+++ b/lab/main.cc
@@ -10,6 +10,9 @@
         oriolelever::lab::driveCommand(),
         oriolelever::lab::serverCommand(),
         oriolelever::lab::summaryCommand(),
+        oriolelever::lab::traceCommand(),
+        oriolelever::lab::replayCommand(),
+        oriolelever::lab::sweepCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
--- a/src/directory-codec.cc
+++ b/src/directory-codec.cc
@@ -85,10 +85,23 @@
             flow.set_caller(encodeCaller(note.caller));
             flow.set_holder(holderIndex(out, note.holder));
             flow.set_certain(note.certain);
+            flow.set_closing(note.closing);
         }
     }
 }
 
+void putCopy(const CopyMessage &copy, proto::CopyPart &out)
+{
+    out.set_sequence(copy.sequence);
+    out.set_answer(copy.answer);
+    for (const auto &caller : copy.callers) {
+        out.add_callers(encodeCaller(caller));
+    }
+    for (const auto &caller : copy.ended) {
+        out.add_ended(encodeCaller(caller));
+    }
+}
+
 Result<BucketIndex> decodeBucket(std::uint32_t bucket, std::uint32_t bucketCount)
 {
     if (bucket >= bucketCount || bucketCount > largeBucketCount) {
@@ -118,7 +131,8 @@
     }
     BOOST_LEAF_AUTO(caller, decodeCaller(message.caller()));
     const ServerId holder{part.holders(static_cast<int>(message.holder()))};
-    return FlowNote{.caller = caller, .holder = holder, .certain = message.certain()};
+    return FlowNote{
+        .caller = caller, .holder = holder, .certain = message.certain(), .closing = message.closing()};
 }
 
 Result<BucketAnswer> takeBucketAnswer(const proto::BucketAnswerPart &section, const proto::AnswerPart &part)
@@ -160,17 +174,27 @@
             .lostBuckets = part.lost_buckets()};
 }
 
-Result<GoneMessage> takeGone(const proto::GonePart &part)
+Result<std::vector<Endpoint>> takeCallers(const google::protobuf::RepeatedPtrField<std::string> &texts)
 {
-    GoneMessage out;
-    out.callers.reserve(part.callers_size());
-    for (const auto &text : part.callers()) {
+    std::vector<Endpoint> out;
+    out.reserve(texts.size());
+    for (const auto &text : texts) {
         BOOST_LEAF_AUTO(caller, decodeCaller(text));
-        out.callers.push_back(caller);
+        out.push_back(caller);
     }
     return out;
 }
 
+Result<CopyMessage> takeCopy(const proto::CopyPart &part)
+{
+    BOOST_LEAF_AUTO(callers, takeCallers(part.callers()));
+    BOOST_LEAF_AUTO(ended, takeCallers(part.ended()));
+    return CopyMessage{.sequence = part.sequence(),
+                       .answer = part.answer(),
+                       .callers = std::move(callers),
+                       .ended = std::move(ended)};
+}
+
 Result<void> takePart(const proto::DirectoryDatagram &datagram, DirectoryMessage &out)
 {
     switch (datagram.part_case()) {
@@ -190,7 +214,12 @@
         return {};
     case proto::DirectoryDatagram::kGone: {
         out.kind = DirectoryMessageKind::Gone;
-        BOOST_LEAF_ASSIGN(out.gone, takeGone(datagram.gone()));
+        BOOST_LEAF_ASSIGN(out.gone.callers, takeCallers(datagram.gone().callers()));
+        return {};
+    }
+    case proto::DirectoryDatagram::kCopy: {
+        out.kind = DirectoryMessageKind::Copy;
+        BOOST_LEAF_ASSIGN(out.copy, takeCopy(datagram.copy()));
         return {};
     }
     case proto::DirectoryDatagram::PART_NOT_SET:
@@ -229,6 +258,9 @@
             datagram.mutable_gone()->add_callers(encodeCaller(caller));
         }
         break;
+    case DirectoryMessageKind::Copy:
+        putCopy(message.copy, *datagram.mutable_copy());
+        break;
     }
     return datagram.SerializeAsString();
 }
--- a/src/main.cc
+++ b/src/main.cc
@@ -7,6 +7,7 @@
     const auto commands = std::to_array<oriolelever::Command>({
         oriolelever::agentCommand(),
         oriolelever::balancerCommand(),
+        oriolelever::burnCommand(),
         oriolelever::checkCommand(),
         oriolelever::codesCommand(),
         oriolelever::drainCommand(),
