Whole path in quickstart: members, requests, orders, figures

Cause: requests and membership were not composed, and the status command waited for agents that a row does not concern. Change: all services run in the daemons; callers and HTTP servers run in the laboratory; runs of all servers are joined by request.

--- a/include/oriolelever/daemon.h
+++ b/include/oriolelever/daemon.h
@@ -7,8 +7,12 @@
 
 namespace oriolelever {
 
-/// Adds the services of a role to `kernel`, each after those that it finds at its start.
-void addServices(Kernel &kernel, const Settings &settings, NodeRole role);
+/// Adds the services of a role to `kernel`, each after those that it finds at its start. Fails when settings
+/// that depend on each other clash.
+Result<void> addServices(Kernel &kernel, const Settings &settings, NodeRole role);
+
+/// The service "requests" of an agent.
+std::unique_ptr<Service> makeRequests(const Settings &settings, Incarnation incarnation);
 
 /// Reads and checks `file` for a role, runs the daemon until a graceful shutdown. Returns the exit status.
 int runDaemon(const std::string &file, NodeRole role);
--- a/include/oriolelever/node.h
+++ b/include/oriolelever/node.h
@@ -1,9 +1,7 @@
-/// The node's own announcement: published at the start, changed with its state, withdrawn at the end.
+/// The node's own announcement: published at the start, changed with its state. `Members` withdraws it.
 #pragma once
 
-#include <memory>
-
-#include <asio/steady_timer.hpp>
+#include <optional>
 
 #include "oriolelever/kernel.h"
 #include "oriolelever/model.h"
@@ -32,7 +30,6 @@
 
     Result<void> start(Kernel &kernel) override;
     void beginDrain() override;
-    void drain(std::function<void()> done) override;
     void stop() override;
 
     const Announcement &announcement() const
@@ -48,7 +45,6 @@
 
     Announcement m_announcement;
     Kernel *m_kernel = nullptr;
-    std::unique_ptr<asio::steady_timer> m_timer;
     bool m_leaving = false;
 };
 
--- a/lab/cmd-drive.cc
+++ b/lab/cmd-drive.cc
@@ -9,6 +9,7 @@
 
 #include "fabric.h"
 #include "flags.h"
+#include "http-callers.h"
 #include "oriolelever/log.h"
 #include "report.h"
 #include "summary.h"
@@ -27,6 +28,8 @@
 
 constexpr std::chrono::milliseconds markPollTime{20};
 constexpr std::chrono::seconds finishLimit{10};
+constexpr std::uint32_t requestConcurrency = 8;
+constexpr double requestsPerSecond = 60;
 
 struct AgentFront
 {
@@ -150,6 +153,40 @@
     report.figure("packets repeated", figures.packetsRepeated);
 }
 
+// Callers of one service each, so that a request is only repeated at agents of its own service.
+std::vector<std::unique_ptr<HttpCallers>> startCallers(const DriveOptions &options)
+{
+    std::vector<std::unique_ptr<HttpCallers>> callers;
+    for (const auto &service : options.fabric.services) {
+        HttpCallersOptions callersOptions{.concurrency = requestConcurrency,
+                                          .requestsPerSecond = requestsPerSecond,
+                                          .seed = options.fabric.seed ^ hashName(service.name)};
+        for (const auto &agent : options.agents) {
+            if (agent.service == service.name) {
+                callersOptions.targets.push_back(agent.requests);
+            }
+        }
+        if (callersOptions.targets.empty()) {
+            continue;
+        }
+        callers.push_back(std::make_unique<HttpCallers>(callersOptions));
+        callers.back()->start();
+    }
+    return callers;
+}
+
+void writeCallers(ReportWriter &report, const HttpCallersFigures &figures)
+{
+    report.figure("requests sent", figures.sent);
+    report.figure("requests answered whole", figures.answeredWhole);
+    report.figure("refused not run", figures.refusedNotRun);
+    report.figure("outcome unknown", figures.outcomeUnknown);
+    report.figure("lost", figures.lost);
+    report.figure("requests repeated", figures.repetitions);
+    report.figure("wrong answers", figures.wrongAnswers);
+    report.figure("connections cut", figures.cut);
+}
+
 Result<int> drive(const DriveOptions &options)
 {
     Fabric fabric(options.fabric);
@@ -157,12 +194,16 @@
         fabric.setServerZone(agent.server, agent.zone);
     }
     BOOST_LEAF_CHECK(fabric.start());
+    const auto callers = startCallers(options);
     const auto end = std::chrono::steady_clock::now() + options.time;
     std::size_t linesRead = 0;
     while (std::chrono::steady_clock::now() < end) {
         readMarks(options.marks, fabric, linesRead);
         std::this_thread::sleep_for(markPollTime);
     }
+    for (const auto &caller : callers) {
+        caller->stop();
+    }
     fabric.finish(finishLimit);
     fabric.stop();
     const auto figures = fabric.figures();
@@ -171,6 +212,9 @@
     }
     ReportWriter report(absl::GetFlag(FLAGS_report));
     writeFabric(report, figures);
+    for (const auto &caller : callers) {
+        writeCallers(report, caller->figures());
+    }
     return exitOk;
 }
 
--- a/lab/cmd-server.cc
+++ b/lab/cmd-server.cc
@@ -12,6 +12,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "flags.h"
+#include "http-server.h"
 #include "oriolelever/log.h"
 #include "packet-server.h"
 #include "report.h"
@@ -75,6 +76,13 @@
     report.figure("packets to wrong service", figures.packetsToWrongService);
 }
 
+void writeRuns(ReportWriter &report, const RunLedger &ledger)
+{
+    for (const auto &[key, count] : runsOf(ledger)) {
+        report.line(fmt::format("run {} {}", key, count));
+    }
+}
+
 int runServer(Arguments arguments)
 {
     if (!arguments.empty()) {
@@ -91,6 +99,17 @@
             fmt::format("flag \"--address\" does not allow \"{}\"", absl::GetFlag(FLAGS_address)));
     }
     options.protocol = absl::GetFlag(FLAGS_protocol) == "udp" ? Protocol::Udp : Protocol::Tcp;
+    HttpServerOptions httpOptions{.slots = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_slots)),
+                                  .seed = absl::GetFlag(FLAGS_seed)};
+    if (!parseEndpoint(absl::GetFlag(FLAGS_requests), httpOptions.listen)) {
+        return usageError(
+            fmt::format("flag \"--requests\" does not allow \"{}\"", absl::GetFlag(FLAGS_requests)));
+    }
+    const auto ledger = makeRunLedger();
+    HttpServer http(httpOptions, ledger);
+    if (!http.start()) {
+        return usageError(fmt::format("address \"{}\" is in use", absl::GetFlag(FLAGS_requests)));
+    }
     PacketServer server(options);
     return handleError(
         [&]() -> Result<int> {
@@ -103,8 +122,10 @@
             sample(server, timer, samples);
             context.run();
             server.stop();
+            http.stop();
             ReportWriter report(absl::GetFlag(FLAGS_report));
             writePackets(report, server.figures(), samples);
+            writeRuns(report, *ledger);
             return exitOk;
         },
         [](const Error &error) { return usageError(error.text); });
--- a/lab/fabric.cc
+++ b/lab/fabric.cc
@@ -412,6 +412,17 @@
     return zone != m_zoneOf.end() && m_zonesOut.contains(zone->second);
 }
 
+namespace {
+
+// Milliseconds since 1970, as the marks of a run have them.
+std::int64_t wallMillisNow()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
 void Fabric::giveUp(FlowKey key, const std::string &fault)
 {
     const auto found = m_flows.find(key);
@@ -425,8 +436,8 @@
     } else {
         ++m_figures.flowsBroken;
         if (m_figures.faults.size() < maxFaults) {
-            m_figures.faults.push_back(
-                fmt::format("flow {} of server \"{}\": {}", toString(key.caller), flow.server, fault));
+            m_figures.faults.push_back(fmt::format("at {}: flow {} of server \"{}\": {}", wallMillisNow(),
+                                                   toString(key.caller), flow.server, fault));
         }
     }
     m_flows.erase(found);
--- a/lab/http-server.cc
+++ b/lab/http-server.cc
@@ -37,6 +37,12 @@
         return m_runs.contains(key);
     }
 
+    std::map<std::string, std::uint32_t> runs() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_runs;
+    }
+
 private:
     mutable std::mutex m_mutex;
     std::map<std::string, std::uint32_t> m_runs;
@@ -52,6 +58,11 @@
     return ledger.has(key);
 }
 
+std::map<std::string, std::uint32_t> runsOf(const RunLedger &ledger)
+{
+    return ledger.runs();
+}
+
 std::string expectedBody(const std::string &key, std::size_t bytes)
 {
     std::string body = key + "\n";
--- a/lab/http-server.h
+++ b/lab/http-server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -53,6 +54,8 @@
 std::shared_ptr<RunLedger> makeRunLedger();
 /// True if the ledger knows a run of the request.
 bool hasRun(const RunLedger &ledger, const std::string &key);
+/// Number of runs of each non-idempotent request.
+std::map<std::string, std::uint32_t> runsOf(const RunLedger &ledger);
 
 class HttpServer
 {
--- a/lab/summary.cc
+++ b/lab/summary.cc
@@ -20,12 +20,18 @@
 constexpr std::uint64_t minFlowsForImbalance = 70;
 
 // Figures that must be 0, or the run has missed a stated outcome.
-constexpr std::array<const char *, 5> zeroFigures
-    = {"flows broken by planned change", "packets to wrong service", "packets to zone after it left",
-       "ran twice", "lost"};
+constexpr auto zeroFigures = std::to_array<const char *>({
+    "flows broken by planned change",
+    "packets to wrong service",
+    "packets to zone after it left",
+    "ran twice",
+    "lost",
+    "wrong answers",
+    "connections cut",
+});
 
 // Order of the lines on standard output.
-constexpr std::array<const char *, 16> printedFigures = {
+constexpr auto printedFigures = std::to_array<const char *>({
     "flows opened",
     "flows broken by planned change",
     "flows given up with zone",
@@ -42,7 +48,7 @@
     "drain in force ms",
     "control bytes per second per balancer",
     "packets sent",
-};
+});
 
 std::optional<MarkKind> parseMark(const std::string &text)
 {
@@ -184,6 +190,13 @@
         run.servers.back().slots.push_back(slot);
         return !words.fail();
     }
+    if (word == "run") {
+        std::string request;
+        std::uint64_t count = 0;
+        words >> request >> count;
+        run.runs[request] += count;
+        return !words.fail();
+    }
     if (word == "mark") {
         WallTime::rep at = 0;
         std::string kind;
@@ -206,6 +219,7 @@
     run.figures["packets to zone after it left"] = static_cast<double>(packetsAfterZoneLeft(run));
     run.figures["zone out in force ms"] = static_cast<double>(zoneOutInForce(run).count());
     run.figures["drain in force ms"] = static_cast<double>(drainInForce(run).count());
+    run.figures["ran twice"] = static_cast<double>(ranTwice(run));
     run.figures["imbalance"] = imbalance(run);
 }
 
@@ -317,6 +331,15 @@
     return worst;
 }
 
+std::uint64_t ranTwice(const RunReport &run)
+{
+    std::uint64_t repeated = 0;
+    for (const auto &[request, count] : run.runs) {
+        repeated += count > 1 ? count - 1 : 0;
+    }
+    return repeated;
+}
+
 bool readReport(std::istream &in, RunReport &run, std::string &problem)
 {
     int number = 0;
@@ -325,7 +348,7 @@
         if (line.empty() || readLine(line, run)) {
             continue;
         }
-        problem = fmt::format("{}: \"{}\" is not a figure, server, slot or mark", number, line);
+        problem = fmt::format("{}: \"{}\" is not a figure, server, slot, run or mark", number, line);
         return false;
     }
     return true;
--- a/lab/summary.h
+++ b/lab/summary.h
@@ -43,6 +43,7 @@
 {
     std::vector<ServerReport> servers;
     std::vector<Mark> marks; ///< Ascending by time.
+    std::map<std::string, std::uint64_t> runs; ///< Runs of each non-idempotent request at all servers.
     std::map<std::string, double> figures; ///< Sums of the `name: value` lines of all reports.
 };
 
@@ -59,8 +60,11 @@
 /// marks; the worst phase of the worst service.
 double imbalance(const RunReport &run);
 
+/// Second and later runs of non-idempotent requests.
+std::uint64_t ranTwice(const RunReport &run);
+
 /// Reads one report; false and `problem` name the line at fault. Lines are `name: value`, `server NAME
-/// SERVICE ZONE`, `slot MS PACKETS OPENED OPEN` and `mark MS KIND NAME`.
+/// SERVICE ZONE`, `slot MS PACKETS OPENED OPEN`, `run REQUEST COUNT` and `mark MS KIND NAME`.
 bool readReport(std::istream &in, RunReport &run, std::string &problem);
 
 } // namespace oriolelever::lab
--- a/src/cmd-status.cc
+++ b/src/cmd-status.cc
@@ -68,6 +68,16 @@
         std::count_if(processes.begin(), processes.end(), [](const auto &p) { return p.answered; }));
 }
 
+// Processes that every row concerns; an agent has only the rows of its own service.
+std::size_t countBalancers(const std::vector<ProcessStatus> &processes)
+{
+    return static_cast<std::size_t>(
+        std::count_if(processes.begin(), processes.end(), [](const auto &process) {
+            const auto node = process.status.value("process", nlohmann::json::object());
+            return process.answered && node.value("role", std::string()) == "balancer";
+        }));
+}
+
 std::vector<ProcessStatus> waitStatuses(const Settings &settings, TimePoint end)
 {
     const auto addresses = settings.addresses("operator", "admin");
@@ -82,14 +92,14 @@
 }
 
 // Prints every row's version and who does not have it in force; returns the rows that are not. A row counts
-// once it is confirmed by as many processes as answered.
-int printVersions(Operator &session, const std::vector<TableRow> &rows, std::size_t answered, TimePoint end,
+// once it is confirmed by as many processes as there are balancers that answered.
+int printVersions(Operator &session, const std::vector<TableRow> &rows, std::size_t balancers, TimePoint end,
                   bool print)
 {
     int stale = 0;
     for (const auto &row : rows) {
-        const auto inForce = session.waitInForce(row.key, row.version, end, answered);
-        const bool complete = isComplete(inForce, answered);
+        const auto inForce = session.waitInForce(row.key, row.version, end, balancers);
+        const bool complete = isComplete(inForce, balancers);
         stale += complete ? 0 : 1;
         if (!print) {
             continue;
@@ -129,7 +139,7 @@
     if (!rows) {
         return reportError(rows.error());
     }
-    const int stale = printVersions(session, rows.value(), wait ? countAnswers(processes) : 0, end, !json);
+    const int stale = printVersions(session, rows.value(), wait ? countBalancers(processes) : 0, end, !json);
     if (!json) {
         fmt::print("rows not in force everywhere: {}\n", stale);
     }
--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -9,6 +9,7 @@
 #include "oriolelever/admin.h"
 #include "oriolelever/cli.h"
 #include "oriolelever/log.h"
+#include "oriolelever/members.h"
 #include "oriolelever/metrics.h"
 #include "oriolelever/platform.h"
 #include "oriolelever/records.h"
@@ -87,8 +88,9 @@
 
 } // namespace
 
-void addServices(Kernel &kernel, const Settings &settings, NodeRole role)
+Result<void> addServices(Kernel &kernel, const Settings &settings, NodeRole role)
 {
+    BOOST_LEAF_AUTO(members, membersOptions(settings));
     const auto incarnation = incarnationAt(std::chrono::system_clock::now());
     auto metrics = std::make_unique<Metrics>();
     auto admin = std::make_unique<Admin>(settings.address("process", "admin"), *metrics);
@@ -98,12 +100,15 @@
     kernel.add("streams", std::make_unique<Streams>(kernel.control(), controlStreamsOptions(settings)));
     kernel.add("control-metrics", std::make_unique<ControlMetrics>());
     kernel.add("records", std::make_unique<Records>(recordsOptions(settings)));
+    kernel.add("members", std::make_unique<Members>(members));
     kernel.add("node", std::make_unique<Node>(announcementFrom(settings, role, incarnation)));
     if (role == NodeRole::Balancer) {
         kernel.add("traffic", std::make_unique<BalancerTraffic>(settings));
-        return;
+        return {};
     }
     kernel.add("traffic", std::make_unique<AgentTraffic>(settings, incarnation));
+    kernel.add("requests", makeRequests(settings, incarnation));
+    return {};
 }
 
 int runDaemon(const std::string &file, NodeRole role)
@@ -117,8 +122,12 @@
     parseLogLevel(settings.text("process", "log"), level);
     initLogging(level);
     Kernel kernel;
-    addServices(kernel, settings, role);
-    return kernel.run(settings.time("process", "drain_ms"));
+    return handleError(
+        [&]() -> Result<int> {
+            BOOST_LEAF_CHECK(addServices(kernel, settings, role));
+            return kernel.run(settings.time("process", "drain_ms"));
+        },
+        [](const Error &error) { return usageError(error.text); });
 }
 
 } // namespace oriolelever
--- a/src/node.cc
+++ b/src/node.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Time for the last announcement to leave before the streams close.
-constexpr std::chrono::milliseconds farewellTime{300};
-
 const Log &nodeLog()
 {
     static const Log instance("node");
@@ -97,13 +94,6 @@
     m_leaving = true;
 }
 
-void Node::drain(std::function<void()> done)
-{
-    announce(NodeState::Down);
-    m_timer = std::make_unique<asio::steady_timer>(m_kernel->control(), farewellTime);
-    m_timer->async_wait([done = std::move(done)](const asio::error_code &) { done(); });
-}
-
 void Node::stop()
 {
 }
--- a/test/summary-test.cc
+++ b/test/summary-test.cc
@@ -62,11 +62,17 @@
     EXPECT_DOUBLE_EQ(imbalance(run), 1.5);
 }
 
+TEST(SummaryTest, RequestThatRanAtTwoServersRanTwice)
+{
+    const auto run = parse("server s1 a z\nrun key-1 1\nrun key-2 1\nserver s2 a z\nrun key-1 2\n");
+    EXPECT_EQ(ranTwice(run), 2U);
+}
+
 TEST(SummaryTest, UnknownLineIsNamed)
 {
     std::istringstream in("server s1 sportello bergamo\nspot 3\n");
     RunReport run;
     std::string problem;
     EXPECT_FALSE(readReport(in, run, problem));
-    EXPECT_EQ(problem, "2: \"spot 3\" is not a figure, server, slot or mark");
+    EXPECT_EQ(problem, "2: \"spot 3\" is not a figure, server, slot, run or mark");
 }
