--- a/test/delivery-test.cc
+++ b/test/delivery-test.cc
@@ -28,7 +28,7 @@
 
 class DeliveryTest : public testing::Test
 {
-protected:
+public:
     DeliveryTest()
     {
         server = handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
