--- a/include/oriolelever/agent-path.h
+++ b/include/oriolelever/agent-path.h
@@ -32,6 +32,8 @@
     std::size_t grantedBuckets = 0; ///< Owned buckets that it may place flows of.
     std::size_t directoryBytes = 0;
     double warmth = 0;
+    bool copied = false; ///< Another agent has a copy of every local flow.
+    TimePoint takenAt;
 };
 
 /// Owns the directory; other threads reach it only through a mailbox.
--- a/src/agent-traffic.cc
+++ b/src/agent-traffic.cc
@@ -132,13 +132,15 @@
     if (service == view.services.end() || isZoneOut(view, m_zone)) {
         return true;
     }
+    const auto figures = m_path->figures();
     if (now - m_drainStart >= service->second.row.drainTime) {
-        trafficLog().warn("drain time passed with {} flows open", m_path->figures().localFlows);
-        return true;
+        // The flows that are left live on beside the next agent, which learns of them from the copies.
+        trafficLog().warn("drain time passed with {} flows open", figures.localFlows);
+        return figures.copied;
     }
     // Its buckets go to other agents, which is over when no packet comes any more.
     const bool quiet = now - std::max(m_path->lastInput(), m_drainStart) >= detail::quietTime;
-    return quiet && m_path->figures().localFlows == 0;
+    return quiet && figures.localFlows == 0;
 }
 
 void AgentTraffic::checkDrained()
--- a/src/agent-worker.cc
+++ b/src/agent-worker.cc
@@ -278,7 +278,9 @@
                              .flowLimit = m_directory.route ? localLimit(m_directory) : 0,
                              .knownFlows = m_directory.flows.size(),
                              .heldPackets = m_held.size(),
-                             .warmth = m_directory.warmth.share};
+                             .warmth = m_directory.warmth.share,
+                             .copied = isCopied(m_directory),
+                             .takenAt = m_now};
     if (const auto &route = m_directory.route) {
         for (std::size_t bucket = 0; bucket < route->owners.size(); ++bucket) {
             const auto index = static_cast<BucketIndex>(bucket);
--- a/test/delivery-test.cc
+++ b/test/delivery-test.cc
@@ -31,8 +31,7 @@
 public:
     DeliveryTest()
     {
-        server = handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
-                             [](const Error &) { return FileDescriptor(); });
+        server = openLoopback();
         delivery = handleError([&] { return makeSocketDelivery({.server = localEndpoint(server)}); },
                                [](const Error &) { return std::unique_ptr<Delivery>(); });
     }
--- a/test/path-allocation-test.cc
+++ b/test/path-allocation-test.cc
@@ -38,12 +38,6 @@
 
 constexpr std::size_t packetCount = 5000;
 
-FileDescriptor openLoopback()
-{
-    return handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
-                       [](const Error &) { return FileDescriptor(); });
-}
-
 std::shared_ptr<const Routing> routingTo(const Endpoint &agent)
 {
     ClusterView view;
--- a/test/path-deployment.h
+++ b/test/path-deployment.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,12 @@
     return endpoint;
 }
 
+inline FileDescriptor openLoopback()
+{
+    return handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
+                       [](const Error &) { return FileDescriptor(); });
+}
+
 inline bool succeeds(const std::function<Result<void>()> &attempt)
 {
     return handleError(
@@ -57,6 +64,10 @@
     std::string host = "127.0.0.1:0"; ///< Outer addresses.
     std::string key;
     double flowsPerSecond = 200;
+    std::size_t threads = 1; ///< Of a balancer.
+    std::uint16_t mtu = 1500;
+    std::size_t payloadSize = 64;
+    std::chrono::milliseconds patience{10000}; ///< Of callers.
 };
 
 class Deployment
@@ -83,7 +94,9 @@
                                                                .services = {service},
                                                                .flowsPerSecond = options.flowsPerSecond,
                                                                .packetGap = std::chrono::milliseconds(20),
-                                                               .flowTime = std::chrono::milliseconds(300)});
+                                                               .flowTime = std::chrono::milliseconds(300),
+                                                               .payloadSize = options.payloadSize,
+                                                               .patience = options.patience});
         EXPECT_TRUE(succeeds([&] { return m_fabric->start(); }));
         putService();
         for (std::size_t i = 0; i < options.servers; ++i) {
@@ -129,8 +142,12 @@
 
     void addBalancer()
     {
-        m_balancers.push_back(std::make_unique<BalancerPath>(BalancerPathOptions{
-            .listen = endpointOf(m_options.host), .keys = m_keys, .returnTo = m_fabric->local()}));
+        m_balancers.push_back(
+            std::make_unique<BalancerPath>(BalancerPathOptions{.listen = endpointOf(m_options.host),
+                                                               .threads = m_options.threads,
+                                                               .keys = m_keys,
+                                                               .mtu = m_options.mtu,
+                                                               .returnTo = m_fabric->local()}));
         EXPECT_TRUE(succeeds([&] { return m_balancers.back()->start(); }));
     }
 
@@ -148,12 +165,27 @@
             encodeZoneRow({.name = zone, .state = state, .rampTime = std::chrono::milliseconds(100)}));
     }
 
-    /// Starts the agent beside the server anew; the server lives on.
-    void restartAgent(Server &server)
+    /// Ends the agent without a word.
+    void killAgent(Server &server)
     {
-        const auto listen = server.agent->local();
         server.agent->stop();
         server.agent.reset();
+    }
+
+    /// Stops the agent as a graceful shutdown at its drain limit does, and starts it anew; the server lives
+    /// on.
+    void restartAgent(Server &server)
+    {
+        announce(server, NodeState::Draining);
+        publish();
+        EXPECT_TRUE(handedOver(server));
+        const auto asked = std::chrono::steady_clock::now();
+        EXPECT_TRUE(waitFor([&] {
+            const auto figures = server.agent->figures();
+            return figures.copied && figures.takenAt > asked;
+        }));
+        const auto listen = server.agent->local();
+        killAgent(server);
         ++server.announcement.incarnation;
         server.sequence = 1;
         startAgent(server, listen);
@@ -163,18 +195,33 @@
     /// Gives the routes in force to the agents and to the balancers from `firstBalancer` on.
     void publish(std::size_t firstBalancer = 0)
     {
-        const auto routing = updateRouting(m_builder, m_view, std::exchange(m_changed, {}),
-                                           std::chrono::steady_clock::now());
-        const auto &service = m_view.services.at("sportello").row;
-        const auto *const found = findRoute(*routing, service.address, service.protocol);
-        ASSERT_NE(found, nullptr);
+        update();
         for (auto &server : m_servers) {
-            if (server.agent) {
-                server.agent->setRoute(*found);
-            }
+            giveRoute(server);
         }
         for (std::size_t i = firstBalancer; i < m_balancers.size(); ++i) {
-            m_balancers[i]->setRouting(routing);
+            m_balancers[i]->setRouting(m_builder.current);
+        }
+    }
+
+    std::shared_ptr<const Routing> routing() const
+    {
+        return m_builder.current;
+    }
+
+    /// Gives the routes in force to each node with even odds; the others keep what they had.
+    void publishUnevenly(std::mt19937_64 &random)
+    {
+        update();
+        for (auto &server : m_servers) {
+            if (random() % 2 == 0) {
+                giveRoute(server);
+            }
+        }
+        for (auto &balancer : m_balancers) {
+            if (random() % 2 == 0) {
+                balancer->setRouting(m_builder.current);
+            }
         }
     }
 
@@ -187,6 +234,14 @@
         return total;
     }
 
+    /// Sends one datagram from `socket`.
+    static void send(const FileDescriptor &socket, std::span<const std::uint8_t> datagram, const Endpoint &to)
+    {
+        SendBatch single(1);
+        single.add(datagram, to);
+        EXPECT_EQ(single.flush(socket), 0U);
+    }
+
     /// Waits until that many flows more have been opened.
     bool openFlows(std::uint64_t count)
     {
@@ -195,7 +250,7 @@
     }
 
     /// Waits until the server owns no bucket and the others may place flows of all of theirs.
-    bool handedOver(std::size_t index)
+    bool handedOver(const Server &left)
     {
         return waitFor([&] {
             std::size_t owned = 0;
@@ -205,8 +260,7 @@
                 owned += figures.ownedBuckets;
                 granted += figures.grantedBuckets;
             }
-            const auto left = m_servers[index].agent->figures().ownedBuckets;
-            return left == 0 && owned == smallBucketCount && granted == owned;
+            return left.agent->figures().ownedBuckets == 0 && owned == smallBucketCount && granted == owned;
         });
     }
 
@@ -233,6 +287,21 @@
         m_changed.push_back(std::move(record));
     }
 
+    void update()
+    {
+        updateRouting(m_builder, m_view, std::exchange(m_changed, {}), std::chrono::steady_clock::now());
+    }
+
+    void giveRoute(Server &server)
+    {
+        const auto &service = m_view.services.at("sportello").row;
+        const auto *const found = findRoute(*m_builder.current, service.address, service.protocol);
+        ASSERT_NE(found, nullptr);
+        if (server.agent) {
+            server.agent->setRoute(*found);
+        }
+    }
+
     void putService()
     {
         const ServiceRow row{.name = "sportello",
@@ -270,6 +339,7 @@
             AgentPathOptions{.listen = listen,
                              .returnTo = m_fabric->local(),
                              .keys = m_keys,
+                             .mtu = m_options.mtu,
                              .directory = {.self = idOf<ServerId>(server.name),
                                            .service = idOf<ServiceId>("sportello"),
                                            .incarnation = server.announcement.incarnation,
--- a/test/path-test.cc
+++ b/test/path-test.cc
@@ -71,7 +71,7 @@
     EXPECT_TRUE(deployment.openFlows(30));
     deployment.announce(deployment.server(0), NodeState::Draining);
     deployment.publish();
-    EXPECT_TRUE(deployment.handedOver(0));
+    EXPECT_TRUE(deployment.handedOver(deployment.server(0)));
     const auto before = deployment.server(0).server->figures().flowsOpened;
     EXPECT_TRUE(deployment.openFlows(60));
     EXPECT_EQ(deployment.server(0).server->figures().flowsOpened, before);
@@ -105,17 +105,14 @@
 TEST(PathTest, PacketOfAnUnknownServiceIsCountedOnly)
 {
     Deployment deployment({.flowsPerSecond = 0});
-    const auto socket = handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
-                                    [](const Error &) { return FileDescriptor(); });
+    const auto socket = openLoopback();
     std::vector<std::uint8_t> buffer(200);
     const auto room = std::span(buffer).subspan(maxGueHeaderSize);
     const auto size = buildTcp(room,
                                {.source = endpointOf("198.18.0.1:5000"),
                                 .destination = endpointOf("198.51.100.99:443"),
                                 .tcpFlags = tcp::syn});
-    SendBatch single(1);
-    single.add(prependPlainGue(room.first(size)), deployment.balancer(0).local());
-    single.flush(socket);
+    Deployment::send(socket, prependPlainGue(room.first(size)), deployment.balancer(0).local());
     EXPECT_TRUE(waitFor([&] { return deployment.balancer(0).total(PathEvent::UnknownService) == 1; }));
     EXPECT_EQ(deployment.balancer(0).total(PathEvent::Received), 1U);
     EXPECT_EQ(deployment.balancer(0).total(PathEvent::Relayed), 0U);
@@ -124,8 +121,7 @@
 TEST(PathTest, PacketForAnotherServiceIsRefusedWithANotice)
 {
     Deployment deployment({.flowsPerSecond = 0});
-    const auto socket = handleError([] { return openDatagramSocket(endpointOf("127.0.0.1:0")); },
-                                    [](const Error &) { return FileDescriptor(); });
+    const auto socket = openLoopback();
     std::vector<std::uint8_t> buffer(200);
     const auto room = std::span(buffer).subspan(maxGueHeaderSize);
     const auto size = buildTcp(room,
@@ -134,9 +130,7 @@
                                 .tcpFlags = tcp::syn});
     const PathData path{.service = idOf<ServiceId>("archivio"), .target = 1, .rosterVersion = 1};
     auto &agent = *deployment.server(0).agent;
-    SendBatch single(1);
-    single.add(prependGue(room.first(size), false, gueIpv4, path, {}), agent.local());
-    single.flush(socket);
+    Deployment::send(socket, prependGue(room.first(size), false, gueIpv4, path, {}), agent.local());
     ReceiveBatch receive(1, 200);
     ASSERT_TRUE(waitFor([&] { return receive.receive(socket) == 1; }));
     GuePacket notice;
