--- a/lab/world.h
+++ b/lab/world.h
@@ -41,6 +41,7 @@
     bool countable = false; ///< Offered while some server could take it.
     bool aroundZone = false;
     bool open = false;
+    bool closing = false; ///< The caller has sent its last packet.
     bool over = false;
     std::size_t home = noHost; ///< Host whose server has the flow.
     std::uint64_t homeLife = 0;
@@ -64,6 +65,7 @@
     bool paused = false;
     std::vector<std::function<void()>> waiting;
     std::map<std::uint64_t, RouteDecision> table; ///< Baseline: by flow.
+    std::map<std::string, TimePoint> refreshedAt; ///< By service.
     double controlBytes = 0;
 };
 
@@ -176,6 +178,8 @@
 void announceDown(World &world, LabHost &host);
 void takeOrder(World &world, const Event &event);
 void restartAgent(World &world, std::size_t host, bool serverToo);
+/// Restarts the agent once its flows are copied, as a planned restart does.
+void restartAgentGracefully(World &world, std::size_t host, int tries);
 void restartBalancer(World &world, std::size_t balancer);
 void crashHost(World &world, std::size_t host);
 void pauseNode(World &world, const std::string &name);
@@ -192,7 +196,8 @@
 // Callers and servers (lab/world-callers.cc).
 void callerSends(World &world, std::uint64_t flow, std::size_t balancer, bool opens, bool closes);
 void deliverToServer(World &world, std::size_t host, const LabPacket &packet);
-void resetCaller(World &world, std::uint64_t flow);
+/// A reset arrives at the caller; `opens` says that it answers the first packet of the flow.
+void resetCaller(World &world, std::uint64_t flow, bool opens);
 /// Share of its full load that the host's server bears.
 double warmthOf(const World &world, const LabHost &host);
 bool mayTakeFlows(const World &world, const LabHost &host);
