--- a/bench/packet-bench.cc
+++ b/bench/packet-bench.cc
@@ -173,12 +173,20 @@
         }
     }
 
+    /// The next datagrams; their memory is used again.
+    std::vector<std::span<std::uint8_t>> &nextBatch()
+    {
+        for (const auto &datagram : m_datagrams) {
+            setFlow(datagram.subspan(4));
+        }
+        return m_datagrams;
+    }
+
     void run(const Endpoint &target, std::chrono::milliseconds time)
     {
         const auto end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end) {
-            for (const auto &datagram : m_datagrams) {
-                setFlow(datagram.subspan(4));
+            for (const auto &datagram : nextBatch()) {
                 m_send.add(datagram, target);
             }
             m_send.flush(m_socket);
@@ -262,6 +270,35 @@
     }
 }
 
+// The balancer's own work on a packet, without system calls.
+double decisionNanos(std::size_t packetSize, std::size_t flows, const TagKeys &keys)
+{
+    constexpr std::size_t passes = 20'000;
+    Source source(packetSize, flows);
+    const auto routing = routingTo(endpointOf("127.0.0.1:9"));
+    std::size_t routed = 0;
+    const auto before = threadTime();
+    for (std::size_t pass = 0; pass < passes; ++pass) {
+        for (auto &datagram : source.nextBatch()) {
+            GuePacket outer;
+            ParsedPacket packet;
+            if (decodePlainGue(datagram, outer) != GueFault::None
+                || parsePacket(outer.payload, packet) != PacketFault::None) {
+                continue;
+            }
+            const auto decision = route(*routing, packet.flow);
+            if (!decision) {
+                continue;
+            }
+            const PathData path{.service = decision->service, .target = decision->incarnation};
+            routed += prependGue(outer.payload, false, outer.type, path, keys).size() != 0 ? 1 : 0;
+            prependPlainGue(outer.payload);
+        }
+    }
+    const auto spent = static_cast<double>((threadTime() - before).count());
+    return routed == 0 ? 0 : spent / static_cast<double>(routed);
+}
+
 struct Case
 {
     std::size_t packetSize = 64;
@@ -302,6 +339,8 @@
     fmt::print("balancer ns per packet, {}: {:.0f}\n", name, ours.median());
     fmt::print("balancer packets per core second, {}: {:.0f}\n", name, 1e9 / ours.median());
     fmt::print("balancer over relay, {}: {:.2f}\n", name, ours.median() / bare.median());
+    fmt::print("decision ns per packet, {}: {:.0f}\n", name,
+               decisionNanos(item.packetSize, item.flows, keys));
     fmt::print("resident growth KiB, {}: {}\n", name,
                (static_cast<std::int64_t>(residentBytes()) - static_cast<std::int64_t>(memoryBefore)) / 1024);
     std::fflush(stdout);
--- a/test/path-deployment.h
+++ b/test/path-deployment.h
@@ -186,6 +186,12 @@
         }));
         const auto listen = server.agent->local();
         killAgent(server);
+        startAgentAgain(server, listen);
+    }
+
+    /// Starts the next incarnation of an agent that has stopped; `publish` makes it known.
+    void startAgentAgain(Server &server, const Endpoint &listen)
+    {
         ++server.announcement.incarnation;
         server.sequence = 1;
         startAgent(server, listen);
--- a/test/path-faults-test.cc
+++ b/test/path-faults-test.cc
@@ -149,6 +149,24 @@
     }
 }
 
+// An agent is killed and starts anew beside its living server; its buckets stay with it.
+TEST(PathFaultsTest, KilledAgentTakesItsFlowsUpAgain)
+{
+    Deployment deployment({.servers = 3});
+    EXPECT_TRUE(deployment.openFlows(60));
+    for (std::size_t i = 0; i < 3; ++i) {
+        auto &server = deployment.server(i);
+        const auto listen = server.agent->local();
+        deployment.killAgent(server);
+        deployment.startAgentAgain(server, listen);
+        deployment.publish();
+        EXPECT_TRUE(deployment.openFlows(30));
+    }
+    deployment.fabric().finish(endTime);
+    EXPECT_EQ(deployment.fabric().figures().flowsBroken, 0U) << deployment.faults();
+    EXPECT_EQ(deployment.fabric().figures().flowsOpen, 0U);
+}
+
 TEST(PathFaultsTest, DeadServerTakesOnlyItsOwnFlows)
 {
     Deployment deployment({.servers = 4, .patience = std::chrono::seconds(4)});
