--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -56,9 +56,10 @@
     HoldFull, ///< Too many packets are held.
     HoldExpired,
     AwaitingHolder, ///< The flow may be at a server that was lately found dead; the caller sends again.
+    Late, ///< It may have waited while this process was paused.
 };
 
-constexpr std::size_t dropReasonCount = 7;
+constexpr std::size_t dropReasonCount = 8;
 std::string_view toString(DropReason reason);
 
 /// What to do with one packet.
@@ -324,7 +325,6 @@
     std::deque<HeldPacket> held;
     std::uint64_t nextHeld = 1;
     std::vector<std::uint32_t> missing; ///< By bucket: reachable peers that have not granted it.
-    std::vector<TimePoint> ownerDiedAt; ///< By bucket: when its former owner was found dead.
     std::vector<TimePoint> verifiedAt; ///< By bucket: when all peers were last asked before a reset.
     std::vector<ServerId> formerOwner; ///< By bucket: the owner before the last change.
     std::uint32_t localFlows = 0; ///< Flows of the local server.
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -62,17 +62,18 @@
         if (!asked[entry.bucket]) {
             continue;
         }
+        if (granted[entry.bucket] && entry.holder != self) {
+            entry.certain = false;
+        }
         const bool atAsker = entry.holder == asker;
-        const bool recovered = recovers && atAsker && tellsHolder(directory, asker, entry, now);
-        if (!granted[entry.bucket] && !recovered) {
+        const bool told
+            = atAsker ? recovers && tellsHolder(directory, asker, entry, now) : granted[entry.bucket];
+        if (!told) {
             continue;
         }
         const bool local = entry.holder == self;
         notes[entry.bucket].push_back(
             {.caller = caller, .holder = entry.holder, .certain = local, .closing = entry.closing});
-        if (granted[entry.bucket] && !local) {
-            entry.certain = false;
-        }
     }
     return notes;
 }
--- a/src/directory-packets.cc
+++ b/src/directory-packets.cc
@@ -181,13 +181,20 @@
     return reset(directory);
 }
 
+// Some server of the service may be back soon with flows that nobody else knows.
+bool someDiedLately(const Directory &directory, TimePoint now)
+{
+    return std::any_of(directory.peers.begin(), directory.peers.end(), [&](const auto &item) {
+        const auto &peer = item.second;
+        return peer.died && now - peer.lostAt < directory.options.deadGrace;
+    });
+}
+
 // A flow that nobody knows, in a bucket that is owned and granted.
 Verdict decideUnknown(Directory &directory, const PacketInfo &packet, ServerId excluded, TimePoint now)
 {
     const auto bucket = flowBucket(directory, packet.flow.caller);
-    const auto diedAt = directory.ownerDiedAt[bucket];
-    const bool lately = diedAt != TimePoint{} && now - diedAt < directory.options.deadGrace;
-    if (!packet.opens && lately) {
+    if (!packet.opens && someDiedLately(directory, now)) {
         return drop(directory, DropReason::AwaitingHolder);
     }
     if (mayBeLocalFromBefore(directory, packet)) {
@@ -279,6 +286,9 @@
         return takeHere(directory, packet, now);
     }
     const auto *const sender = reachablePeer(directory, packet.fromServer);
+    if (sender == nullptr && mayBeOld) {
+        return drop(directory, DropReason::Late);
+    }
     if (sender == nullptr) {
         return hold(directory, packet, now);
     }
--- a/src/directory-roster.cc
+++ b/src/directory-roster.cc
@@ -20,7 +20,6 @@
 {
     const auto count = directory.route->owners.size();
     directory.missing.assign(count, 0);
-    directory.ownerDiedAt.assign(count, TimePoint{});
     directory.formerOwner.assign(count, ServerId{});
     directory.verifiedAt.assign(count, TimePoint{});
     for (auto &[caller, entry] : directory.flows) {
@@ -33,7 +32,7 @@
 }
 
 // Remembers the former owners; returns the new owners of buckets that this agent has lost.
-std::set<ServerId> noteOwnerChanges(Directory &directory, const ServiceRoute &before, TimePoint now)
+std::set<ServerId> noteOwnerChanges(Directory &directory, const ServiceRoute &before)
 {
     std::set<ServerId> gainers;
     const auto &route = *directory.route;
@@ -46,10 +45,6 @@
             continue;
         }
         directory.formerOwner[bucket] = former;
-        const auto *const server = findServer(route, former);
-        if (server != nullptr && server->state == NodeState::Down) {
-            directory.ownerDiedAt[bucket] = now;
-        }
         if (owner == directory.options.self) {
             forgetBucket(directory, bucket);
             gained[bucket] = true;
@@ -81,7 +76,7 @@
 
 void losePeer(PeerState &peer, bool died, TimePoint now)
 {
-    if (!peer.reachable) {
+    if (!peer.reachable && (!died || peer.died)) {
         return;
     }
     peer.reachable = false;
@@ -98,6 +93,7 @@
         return;
     }
     peer.reachable = true;
+    peer.died = false;
     peer.granted.assign(directory.route->owners.size(), false);
     peer.placedSince = 0;
     sendLoad(directory, id, false, effects);
@@ -217,7 +213,7 @@
     if (resized) {
         detail::resizeBuckets(directory);
     } else {
-        gainers = detail::noteOwnerChanges(directory, *before, now);
+        gainers = detail::noteOwnerChanges(directory, *before);
         detail::noteKeeping(directory, *before, now);
     }
     detail::updatePeers(directory, now, effects);
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -97,6 +97,8 @@
         return "hold-expired";
     case DropReason::AwaitingHolder:
         return "awaiting-holder";
+    case DropReason::Late:
+        return "late";
     }
     return "unknown";
 }
