--- a/lab/trace-cases.cc
+++ b/lab/trace-cases.cc
@@ -118,8 +118,8 @@
         {.name = "vessel-track", .limit = 400, .nominal = 120, .ramp = milliseconds(5000)});
     trace.services.push_back({.name = "wx-brief",
                               .protocol = Protocol::Udp,
-                              .limit = 300,
-                              .nominal = 60,
+                              .limit = 600,
+                              .nominal = 200,
                               .ramp = milliseconds(5000)});
     addServers(maker, "vessel-track", "vessel", 7, 0);
     addServers(maker, "wx-brief", "weather", 3, 0);
--- a/src/directory-tick.cc
+++ b/src/directory-tick.cc
@@ -59,7 +59,23 @@
     if (entry.holder != options.self && !entry.certain && !ownsBucket(directory, entry.bucket)) {
         return hearsayTime;
     }
-    return directory.route->protocol == Protocol::Udp ? options.udpIdleTime : options.idleTime;
+    return options.idleTime;
+}
+
+// UDP has no last packet: a quiet flow counts as closing until its next packet.
+bool turnsQuiet(const Directory &directory, const FlowEntry &entry, TimePoint now)
+{
+    const bool udp = directory.route->protocol == Protocol::Udp;
+    return udp && !entry.closing && now - entry.lastSeen >= directory.options.udpQuietTime;
+}
+
+void endLoad(Directory &directory, const Endpoint &caller, FlowEntry &entry)
+{
+    uncountFlow(directory, entry);
+    if (entry.holder == directory.options.self && !entry.closing) {
+        directory.copy.waiting.push_back({.caller = caller, .ended = true});
+    }
+    entry.closing = true;
 }
 
 void freeSilent(Directory &directory, TimePoint now)
@@ -70,13 +86,13 @@
     directory.lastSweep = now;
     for (auto item = directory.flows.begin(); item != directory.flows.end();) {
         const auto current = item++;
+        if (turnsQuiet(directory, current->second, now)) {
+            endLoad(directory, current->first, current->second);
+        }
         if (now - current->second.lastSeen < lifeOf(directory, current->second)) {
             continue;
         }
-        uncountFlow(directory, current->second);
-        if (current->second.holder == directory.options.self && !current->second.closing) {
-            directory.copy.waiting.push_back({.caller = current->first, .ended = true});
-        }
+        endLoad(directory, current->first, current->second);
         directory.flows.erase(current);
     }
 }
