Agents announce Ready once warm, Cold when they turn cold

Cause: every agent stayed Cold in its announcement for ever. Change: the traffic service announces the state that follows from the measured warmth, with hysteresis.

--- a/include/oriolelever/node.h
+++ b/include/oriolelever/node.h
@@ -22,6 +22,10 @@
 ///     }
 std::optional<Announcement> announceNext(const Announcement &current, bool leaving, NodeState state);
 
+/// State to announce for a backend server that bears `warmth` of its full load, in [0, 1]. It is `Ready` from
+/// full warmth until it falls below a half, so that small changes are not announced.
+NodeState stateOfWarmth(NodeState current, double warmth);
+
 /// Announces this process through the service "records"; shuts down when a later start has taken its name.
 class Node : public Service
 {
--- a/include/oriolelever/traffic.h
+++ b/include/oriolelever/traffic.h
@@ -16,6 +16,7 @@
 namespace oriolelever {
 
 class Metrics;
+class Node;
 class Records;
 
 /// Copies the counters of packet threads into the registry, as `oriolelever_packets_total{kind, name}`.
@@ -111,6 +112,7 @@
     std::shared_ptr<const ServiceRoute> m_route;
     RoutingBuilder m_builder;
     Records *m_records = nullptr;
+    Node *m_node = nullptr;
     std::unique_ptr<PathMetrics> m_metrics;
     std::unique_ptr<asio::steady_timer> m_timer;
     std::unique_ptr<asio::steady_timer> m_drainTimer;
--- a/src/agent-traffic.cc
+++ b/src/agent-traffic.cc
@@ -3,6 +3,7 @@
 #include "oriolelever/admin.h"
 #include "oriolelever/log.h"
 #include "oriolelever/metrics.h"
+#include "oriolelever/node.h"
 #include "oriolelever/records.h"
 #include "oriolelever/traffic.h"
 #include "traffic-detail.h"
@@ -70,6 +71,7 @@
     m_records = &kernel.find<Records>("records");
     m_records->subscribe([this](const std::vector<Record> &changed) { onRecords(changed); });
     onRecords(detail::recordsOf(m_records->view()));
+    m_node = kernel.tryFind<Node>("node");
     if (auto *const metrics = kernel.tryFind<Metrics>("metrics")) {
         m_metrics = std::make_unique<PathMetrics>(*metrics);
     }
@@ -104,6 +106,9 @@
     if (m_metrics) {
         m_metrics->update([this](const auto &visit) { visit(m_path->counters()); });
     }
+    if (m_node != nullptr) {
+        m_node->setState(stateOfWarmth(m_node->announcement().state, m_path->figures().warmth));
+    }
     m_timer->expires_after(detail::metricsInterval);
     m_timer->async_wait([this](const asio::error_code &error) {
         if (!error) {
--- a/src/node.cc
+++ b/src/node.cc
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr double coldWarmth = 0.5;
+
 const Log &nodeLog()
 {
     static const Log instance("node");
@@ -53,6 +55,17 @@
     return next;
 }
 
+NodeState stateOfWarmth(NodeState current, double warmth)
+{
+    if (current == NodeState::Cold && warmth >= 1) {
+        return NodeState::Ready;
+    }
+    if (current == NodeState::Ready && warmth < coldWarmth) {
+        return NodeState::Cold;
+    }
+    return current;
+}
+
 Node::Node(Announcement announcement)
     : m_announcement(std::move(announcement))
 {
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -24,3 +24,12 @@
     const auto now = std::chrono::system_clock::time_point(std::chrono::hours(1));
     EXPECT_LT(incarnationAt(now), incarnationAt(now + std::chrono::microseconds(1)));
 }
+
+TEST(NodeTest, ServerIsReadyOnceWarmAndColdOnceItFallsBelowAHalf)
+{
+    EXPECT_EQ(stateOfWarmth(NodeState::Cold, 0.9), NodeState::Cold);
+    EXPECT_EQ(stateOfWarmth(NodeState::Cold, 1.0), NodeState::Ready);
+    EXPECT_EQ(stateOfWarmth(NodeState::Ready, 0.6), NodeState::Ready);
+    EXPECT_EQ(stateOfWarmth(NodeState::Ready, 0.4), NodeState::Cold);
+    EXPECT_EQ(stateOfWarmth(NodeState::Draining, 1.0), NodeState::Draining);
+}
