--- a/include/oriolelever/claims.h
+++ b/include/oriolelever/claims.h
@@ -79,6 +79,7 @@
     ClaimOptions options;
     Holder self;
     TimePoint startedAt;
+    bool membersKnown = false; ///< No key has holders before the first `setMembers`.
     std::unordered_map<std::string, ClaimEntry> entries;
     std::map<std::string, ClaimMember> members;
     std::map<std::string, TimePoint> removed; ///< Former members, and when they were removed.
@@ -99,7 +100,7 @@
 /// so that a suspicion never moves a key away from agents that may hold its claim.
 void setMembers(ClaimTable &table, const std::vector<Holder> &present, TimePoint now);
 
-/// Up to three holders of the key, by rendezvous hash over the members.
+/// Up to three holders of the key, by rendezvous hash over the members; none before the members are known.
 std::vector<Holder> holdersOf(const ClaimTable &table, const std::string &key);
 /// Holders that must prove a key fresh: the majority.
 std::size_t quorum(std::size_t holders);
--- a/include/oriolelever/request.h
+++ b/include/oriolelever/request.h
@@ -31,6 +31,7 @@
     bool idempotent = false;
     bool keyed = false; ///< Carries an idempotency key that must be claimed before it runs.
     bool handedOver = false; ///< Came from another agent and goes no further.
+    Duration maxWait{0}; ///< Refused if it would wait longer than this; 0 for no such limit.
     TimePoint arrived;
     TimePoint deadline;
 };
@@ -86,6 +87,7 @@
 struct HandOver
 {
     RequestId request = 0;
+    Duration maxWait{0}; ///< The other agent refuses it if it would wait longer there; 0 for no such limit.
 };
 
 /// Passes the answer of this attempt on to the caller.
@@ -119,6 +121,7 @@
     double hedgeFactor = 3.0; ///< Usual answer times before an idempotent request is sent again.
     std::chrono::milliseconds minHedgeDelay{20};
     std::chrono::milliseconds firstEstimate{5}; ///< Assumed answer time before the first answer.
+    double balanceWait = 1.0; ///< Usual answer times of waiting after which an urgent request tries a peer.
     std::chrono::milliseconds minHandover{5}; ///< Time left that makes a handover worthwhile.
 };
 
--- a/include/oriolelever/requests.h
+++ b/include/oriolelever/requests.h
@@ -71,7 +71,8 @@
     /// Opens both listeners and starts the thread.
     Result<void> start();
     void setPeers(std::vector<RequestPeer> peers);
-    void setLimits(std::uint32_t slots, std::chrono::milliseconds deadline);
+    void setLimits(std::uint32_t slots, std::chrono::milliseconds deadline,
+                   std::chrono::milliseconds rampTime);
     /// New requests are handed over or refused; `done` is called on the thread once none runs.
     void drain(std::function<void()> done);
     void stop();
--- a/lab/commands.h
+++ b/lab/commands.h
@@ -17,4 +17,7 @@
 /// Replays many seeds of one case.
 Command sweepCommand();
 
+/// Runs callers, agents and faulty backend servers in virtual time.
+Command requestsCommand();
+
 } // namespace oriolelever::lab
--- a/lab/http-callers.cc
+++ b/lab/http-callers.cc
@@ -59,16 +59,19 @@
 
 } // namespace
 
-std::string makeKey(std::uint64_t random)
+std::string makeKeyAt(std::chrono::system_clock::time_point time, std::uint64_t random)
 {
-    const auto now
-        = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-              .count();
-    const auto time = static_cast<std::uint64_t>(now);
-    return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}", time >> 16, time & 0xffff,
+    const auto ms = std::chrono::floor<milliseconds>(time.time_since_epoch()).count();
+    const auto stamp = static_cast<std::uint64_t>(ms);
+    return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}", stamp >> 16, stamp & 0xffff,
                        (random >> 52) & 0xfff, (random >> 40) & 0xfff, random & 0xffffffffffff);
 }
 
+std::string makeKey(std::uint64_t random)
+{
+    return makeKeyAt(std::chrono::system_clock::now(), random);
+}
+
 double percentile(std::vector<double> values, double share)
 {
     if (values.empty()) {
--- a/lab/http-callers.h
+++ b/lab/http-callers.h
@@ -62,6 +62,8 @@
     std::unique_ptr<State> m_state;
 };
 
+/// A UUID of version 7 with the given time.
+std::string makeKeyAt(std::chrono::system_clock::time_point time, std::uint64_t random);
 /// A UUID of version 7 with the time of now.
 std::string makeKey(std::uint64_t random);
 
--- a/lab/http-server.cc
+++ b/lab/http-server.cc
@@ -31,6 +31,12 @@
         return ++m_runs[key];
     }
 
+    std::map<std::string, std::uint32_t> runs() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_runs;
+    }
+
     bool has(const std::string &key) const
     {
         const std::lock_guard lock(m_mutex);
@@ -52,6 +58,11 @@
     return ledger.has(key);
 }
 
+std::map<std::string, std::uint32_t> runsOf(const RunLedger &ledger)
+{
+    return ledger.runs();
+}
+
 std::string expectedBody(const std::string &key, std::size_t bytes)
 {
     std::string body = key + "\n";
@@ -272,7 +283,7 @@
     session->running = true;
     const bool idempotent = session->parser.method != HTTP_POST && session->parser.method != HTTP_PATCH;
     const auto key = headerOr(session->headers, "Idempotency-Key", "none");
-    const auto runs = ledger->note(key);
+    const auto runs = idempotent ? 0 : ledger->note(key);
     const bool cold = isCold();
     {
         const std::lock_guard lock(figuresMutex);
--- a/lab/http-server.h
+++ b/lab/http-server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -51,8 +52,10 @@
 /// Runs that several servers share, so that a second run at another server shows.
 class RunLedger;
 std::shared_ptr<RunLedger> makeRunLedger();
-/// True if the ledger knows a run of the request.
+/// True if the ledger knows a run of the non-idempotent request.
 bool hasRun(const RunLedger &ledger, const std::string &key);
+/// Runs of each non-idempotent request by its key.
+std::map<std::string, std::uint32_t> runsOf(const RunLedger &ledger);
 
 class HttpServer
 {
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -10,6 +10,7 @@
         oriolelever::lab::traceCommand(),
         oriolelever::lab::replayCommand(),
         oriolelever::lab::sweepCommand(),
+        oriolelever::lab::requestsCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
--- a/src/claim-link.cc
+++ b/src/claim-link.cc
@@ -164,7 +164,6 @@
         table.options = options.claims;
         table.self = options.self;
         table.startedAt = TimePoint::clock::now();
-        setMembers(table, {options.self}, table.startedAt);
     }
 
     void serve();
@@ -221,6 +220,10 @@
             reply(Error{Code::MessageMalformed, "recovery cannot be decoded"});
             return;
         }
+        if (!self->table.membersKnown) {
+            reply(Error{Code::PeerRefused, "members of the service are not known yet"});
+            return;
+        }
         const auto now = TimePoint::clock::now();
         auto claims = claimsFor(self->table, {in.member().name(), in.member().incarnation()}, now);
         reply(recoverPage(claims, in.after(), now));
@@ -237,6 +240,11 @@
     asking->round.holders = asking->request.holders;
     asking->round.need = freshnessNeed(asking->request.key, options.claims, std::chrono::system_clock::now());
     const auto holders = asking->request.holders;
+    if (holders.empty()) {
+        asio::post(context, [self = shared_from_this(), asking] {
+            self->conclude(asking, RoundDecision::Unreachable);
+        });
+    }
     for (const auto &holder : holders) {
         askHolder(asking, holder);
     }
--- a/src/claims.cc
+++ b/src/claims.cc
@@ -97,6 +97,24 @@
     return contains(own, table.self.name);
 }
 
+// Two submissions may hold grants of one key at different holders, and only one of them won. Until that is
+// known neither may release the key.
+void merge(std::unordered_map<std::string, ClaimEntry> &entries, const std::string &key,
+           const ClaimEntry &entry)
+{
+    const auto [known, added] = entries.try_emplace(key, entry);
+    auto &kept = known->second;
+    if (added || kept.state == ClaimState::Answered) {
+        return;
+    }
+    if (entry.state == ClaimState::Answered || kept.id == entry.id) {
+        kept = entry.state == ClaimState::Running ? kept : entry;
+        return;
+    }
+    kept.id = {};
+    kept.state = ClaimState::Unknown;
+}
+
 HolderReply replyOf(const ClaimEntry &entry)
 {
     switch (entry.state) {
@@ -135,6 +153,7 @@
 
 void setMembers(ClaimTable &table, const std::vector<Holder> &present, TimePoint now)
 {
+    table.membersKnown = true;
     for (auto &[name, member] : table.members) {
         const bool isPresent = contains(present, name);
         member.absentSince = member.present && !isPresent ? now : member.absentSince;
@@ -149,7 +168,8 @@
 
 std::vector<Holder> holdersOf(const ClaimTable &table, const std::string &key)
 {
-    return firstHolders(key, memberList(table));
+    // A restarted agent that counted itself as the only holder would prove every key fresh.
+    return table.membersKnown ? firstHolders(key, memberList(table)) : std::vector<Holder>();
 }
 
 std::size_t quorum(std::size_t holders)
@@ -236,12 +256,7 @@
 {
     table.recoveredFrom[from] = now - claims.memory;
     for (const auto &[key, entry] : claims.entries) {
-        const auto known = table.entries.find(key);
-        const bool newer = known != table.entries.end() && known->second.state == ClaimState::Running
-            && entry.state != ClaimState::Running;
-        if (known == table.entries.end() || newer) {
-            table.entries[key] = entry;
-        }
+        merge(table.entries, key, entry);
     }
 }
 
--- a/src/limiter.cc
+++ b/src/limiter.cc
@@ -29,14 +29,63 @@
     limiter.goodAnswers = 0;
 }
 
-void growByEvidence(Limiter &limiter)
+// Slots that the ramp allows at `now`.
+double rampLimit(const Limiter &limiter, TimePoint now)
 {
-    const auto needed = limiter.evidence == 0 ? limiter.options.evidence : limiter.evidence;
-    if (limiter.limit >= limiter.options.slots || ++limiter.goodAnswers < needed) {
+    const auto &options = limiter.options;
+    if (options.rampTime.count() == 0 || now >= limiter.rampStart + options.rampTime) {
+        return options.slots;
+    }
+    const std::chrono::duration<double> elapsed = now - limiter.rampStart;
+    const std::chrono::duration<double> whole = options.rampTime;
+    return std::max(1.0, options.slots * elapsed.count() / whole.count());
+}
+
+void growByEvidence(Limiter &limiter, TimePoint now)
+{
+    const auto &options = limiter.options;
+    const auto needed = limiter.evidence == 0 ? options.evidence : limiter.evidence;
+    limiter.goodAnswers = std::min(limiter.goodAnswers + 1, needed);
+    if (limiter.goodAnswers < needed) {
         return;
     }
-    limiter.limit = std::min<double>(std::floor(limiter.limit) + 1.0, limiter.options.slots);
+    if (limiter.limit >= options.slots) {
+        limiter.evidence = 0;
+        return;
+    }
+    const double next = std::min<double>(std::floor(limiter.limit) + 1.0, options.slots);
+    if (next > rampLimit(limiter, now)) {
+        return;
+    }
+    limiter.limit = next;
+    limiter.goodAnswers = 0;
+}
+
+void fallToOne(Limiter &limiter)
+{
+    const auto needed = limiter.evidence == 0 ? limiter.options.evidence : limiter.evidence;
+    if (limiter.limit > 1.0) {
+        limiter.evidence = std::min(needed * 2, limiter.options.maxEvidence);
+    }
+    limiter.limit = 1.0;
     limiter.goodAnswers = 0;
+    limiter.badInRow = 0;
+}
+
+void countBad(Limiter &limiter)
+{
+    limiter.goodAnswers = 0;
+    if (++limiter.badInRow >= limiter.options.badAnswers) {
+        fallToOne(limiter);
+    }
+}
+
+void pauseLonger(Limiter &limiter, TimePoint now)
+{
+    const auto &options = limiter.options;
+    const auto doubled = limiter.pause * 2;
+    limiter.pause = std::clamp<std::chrono::milliseconds>(doubled, options.firstPause, options.maxPause);
+    limiter.pausedUntil = now + limiter.pause;
 }
 
 void release(Limiter &limiter)
@@ -69,20 +118,29 @@
     ++limiter.running;
 }
 
-void noteAnswer(Limiter &limiter, Duration elapsed)
+void beginRamp(Limiter &limiter, TimePoint now)
+{
+    limiter.rampStart = now;
+    limiter.limit = 1.0;
+    limiter.goodAnswers = 0;
+    limiter.badInRow = 0;
+}
+
+void noteAnswer(Limiter &limiter, Duration elapsed, TimePoint now)
 {
     release(limiter);
     limiter.pause = std::chrono::milliseconds(0);
     const auto sample = static_cast<double>(std::max<Duration::rep>(elapsed.count(), 1));
-    const bool cold = limiter.usualNs > 0.0 && sample > limiter.options.coldFactor * limiter.usualNs;
+    const bool bad = limiter.usualNs > 0.0 && sample > limiter.options.coldFactor * limiter.usualNs;
     average(limiter.recentNs, sample, recentWeight);
     average(limiter.usualNs, sample, usualWeight);
-    if (cold) {
-        noteCold(limiter);
+    if (bad) {
+        countBad(limiter);
         return;
     }
+    limiter.badInRow = 0;
     followGradient(limiter);
-    growByEvidence(limiter);
+    growByEvidence(limiter, now);
 }
 
 void noteCancelled(Limiter &limiter)
@@ -90,24 +148,25 @@
     release(limiter);
 }
 
-void noteFailure(Limiter &limiter, TimePoint now)
+void noteUnreachable(Limiter &limiter, TimePoint now)
 {
     release(limiter);
-    noteCold(limiter);
-    const auto &options = limiter.options;
-    const auto doubled = limiter.pause * 2;
-    limiter.pause = std::clamp<std::chrono::milliseconds>(doubled, options.firstPause, options.maxPause);
-    limiter.pausedUntil = now + limiter.pause;
+    pauseLonger(limiter, now);
+    beginRamp(limiter, now);
 }
 
-void noteCold(Limiter &limiter)
+void noteShed(Limiter &limiter, TimePoint now)
 {
-    const auto needed = limiter.evidence == 0 ? limiter.options.evidence : limiter.evidence;
-    if (limiter.limit > 1.0) {
-        limiter.evidence = std::min(needed * 2, limiter.options.maxEvidence);
-    }
-    limiter.limit = 1.0;
+    release(limiter);
+    limiter.limit = std::max(1.0, std::floor(limiter.limit) - 1.0);
     limiter.goodAnswers = 0;
+    limiter.pausedUntil = now + limiter.options.firstPause;
+}
+
+void noteBad(Limiter &limiter)
+{
+    release(limiter);
+    countBad(limiter);
 }
 
 void earn(RetryBudget &budget)
--- a/src/request-runner.cc
+++ b/src/request-runner.cc
@@ -128,6 +128,7 @@
     std::uint64_t caller = 0;
     Streams::Reply reply{nullptr}; ///< Of a request of another agent.
     bool handedOver = false;
+    bool balanced = false; ///< Handed over to start earlier, not because it cannot run here.
     AnswerHead head;
     std::string body; ///< Whole answer, or its part so far for another agent.
     KeptAnswer kept;
@@ -236,6 +237,7 @@
 
 void RequestRunner::State::run()
 {
+    beginRamp(gate.limiter, TimePoint::clock::now());
     tickLater();
     context.run();
 }
@@ -374,6 +376,7 @@
                              .urgency = added.urgency,
                              .idempotent = outbound.idempotent,
                              .handedOver = true,
+                             .maxWait = std::chrono::microseconds(in.max_wait_us()),
                              .arrived = now,
                              .deadline = outbound.deadline};
     step([&](TimePoint, Effects &effects) { arrive(gate, facts, now, effects); });
@@ -494,7 +497,7 @@
 void RequestRunner::State::execute(const HandOver &effect)
 {
     const auto request = effect.request;
-    const auto *const known = find(request);
+    auto *const known = find(request);
     const auto now = TimePoint::clock::now();
     const auto *const peer = choosePeer(now);
     const bool possible
@@ -504,6 +507,7 @@
                    [this, request] { handoverReplied(request, {}, nullptr, Code::PeerUnreachable); });
         return;
     }
+    known->balanced = effect.maxWait.count() > 0;
     const auto left = std::chrono::floor<milliseconds>(known->outbound.deadline - now);
     proto::HandoverRequest out;
     out.set_method(known->outbound.method);
@@ -518,6 +522,7 @@
     out.set_ordinary(known->urgency == Urgency::Ordinary);
     out.set_caller(known->caller);
     out.set_left_ms(left.count());
+    out.set_max_wait_us(std::chrono::floor<std::chrono::microseconds>(effect.maxWait).count());
     streams->call(peer->handover, "/handover", out.SerializeAsString(), left,
                   [this, request, name = peer->holder.name](Result<std::string> answer) {
                       handleError(
@@ -549,7 +554,7 @@
         end = outcome == Code::RefusedNotRun ? HandoverEnd::RefusedNotRun : end;
         end = outcome == Code::Answered ? HandoverEnd::Answered : end;
     }
-    if (end == HandoverEnd::NotSent || end == HandoverEnd::RefusedNotRun) {
+    if (end == HandoverEnd::NotSent || (end == HandoverEnd::RefusedNotRun && !known->balanced)) {
         refusedUntil[peer] = TimePoint::clock::now() + std::max(retryAfter, refusalMemory);
     }
     if (end == HandoverEnd::Answered) {
@@ -700,11 +705,12 @@
     });
 }
 
-void RequestRunner::setLimits(std::uint32_t slots, std::chrono::milliseconds deadline)
+void RequestRunner::setLimits(std::uint32_t slots, milliseconds deadline, milliseconds rampTime)
 {
-    asio::post(m_state->context, [state = m_state, slots, deadline] {
+    asio::post(m_state->context, [state = m_state, slots, deadline, rampTime] {
         state->gate.limiter.options.slots = std::max<std::uint32_t>(slots, 1);
         state->gate.limiter.limit = std::min<double>(state->gate.limiter.limit, slots);
+        state->gate.limiter.options.rampTime = rampTime;
         state->options.deadline = std::min(deadline, state->options.maxDeadline);
     });
 }
--- a/src/request.cc
+++ b/src/request.cc
@@ -110,6 +110,14 @@
     return now + gate.options.minHandover < state.facts.deadline;
 }
 
+void handOver(Gate &gate, RequestState &state, Duration maxWait, Effects &effects)
+{
+    state.phase = Phase::HandedOver;
+    state.handoverTried = true;
+    ++gate.counters.handovers;
+    effects.push_back(HandOver{state.facts.id, maxWait});
+}
+
 void handOverOrRefuse(Gate &gate, RequestState &state, Reason reason, Duration retryAfter, TimePoint now,
                       Effects &effects)
 {
@@ -117,10 +125,7 @@
         refuse(gate, state, reason, retryAfter, effects);
         return;
     }
-    state.phase = Phase::HandedOver;
-    state.handoverTried = true;
-    ++gate.counters.handovers;
-    effects.push_back(HandOver{state.facts.id});
+    handOver(gate, state, Duration::zero(), effects);
 }
 
 void startAttempt(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
@@ -170,6 +175,9 @@
     }
     const auto wait = expectedWait(gate, state.facts.urgency, now);
     const bool late = now + wait + estimate(gate) > state.facts.deadline;
+    if (state.facts.maxWait.count() > 0 && wait > state.facts.maxWait) {
+        return Reason::QueueFull;
+    }
     if (!late) {
         return Reason::None;
     }
@@ -181,6 +189,14 @@
     return gate.draining ? Duration(drainRetryAfter) : expectedWait(gate, state.facts.urgency, now);
 }
 
+// An urgent request that would wait long here may start earlier at a peer.
+bool wantsPeer(const Gate &gate, const RequestState &state, Duration wait, TimePoint now)
+{
+    const auto limit = gate.options.balanceWait * static_cast<double>(estimate(gate).count());
+    const bool longWait = static_cast<double>(wait.count()) > limit;
+    return state.facts.urgency == Urgency::Urgent && longWait && canHandOver(gate, state, now);
+}
+
 // Queues, hands over or refuses a request that may run.
 void place(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
 {
@@ -191,6 +207,10 @@
     }
     const auto &facts = state.facts;
     const auto wait = expectedWait(gate, facts.urgency, now);
+    if (wantsPeer(gate, state, wait, now)) {
+        handOver(gate, state, wait / 2, effects);
+        return;
+    }
     std::optional<Waiting> evicted;
     state.phase = Phase::Waiting;
     const auto result = push(gate.queue, {facts.id, facts.caller, facts.urgency, facts.deadline}, evicted);
@@ -222,6 +242,21 @@
     place(gate, state, now, effects);
 }
 
+void noteFailure(Limiter &limiter, AttemptFailure failure, TimePoint now)
+{
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        noteUnreachable(limiter, now);
+        return;
+    case AttemptFailure::Shed:
+        noteShed(limiter, now);
+        return;
+    case AttemptFailure::Broken:
+        noteBad(limiter);
+        return;
+    }
+}
+
 void failUnsent(Gate &gate, RequestState &state, AttemptFailure failure, TimePoint now, Effects &effects)
 {
     const auto reason = failure == AttemptFailure::Shed ? Reason::ServerShed : Reason::ServerUnavailable;
@@ -269,12 +304,12 @@
 
 void passDeadline(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
 {
-    const bool sent = std::any_of(state.attempts.begin(), state.attempts.end(),
-                                  [](const Attempt &attempt) { return attempt.byteLeft; });
-    if (sent) {
-        // A server that is silent past a deadline is taken for cold.
-        noteCold(gate.limiter);
+    for (const auto &attempt : state.attempts) {
+        effects.push_back(CancelAttempt{state.facts.id, attempt.id});
+        state.mayHaveRun = state.mayHaveRun || attempt.byteLeft;
+        noteBad(gate.limiter);
     }
+    state.attempts.clear();
     // Without an end of its claim the request may be a repetition of one that ran.
     const auto reason = state.phase == Phase::Claiming ? Reason::NotProvenFresh : Reason::DeadlinePassed;
     finish(gate, state, Code::RefusedNotRun, reason, ceilMs(expectedWait(gate, state.facts.urgency, now)),
@@ -422,7 +457,7 @@
     if (state->relayed == 0) {
         answerBegan(gate, request, attempt, effects);
     }
-    noteAnswer(gate.limiter, elapsed);
+    noteAnswer(gate.limiter, elapsed, now);
     removeAttempt(*state, attempt);
     finish(gate, *state, Code::Answered, Reason::None, milliseconds(0), effects);
     startWaiting(gate, now, effects);
@@ -435,7 +470,7 @@
     if (state == nullptr || !removeAttempt(*state, attempt)) {
         return;
     }
-    noteFailure(gate.limiter, now);
+    noteFailure(gate.limiter, failure, now);
     state->mayHaveRun = state->mayHaveRun || failure == AttemptFailure::Broken;
     if (!state->attempts.empty()) {
         return;
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -152,11 +152,14 @@
 void Requests::State::applyView()
 {
     const auto &view = records->view();
-    runner.setPeers(peersFrom(view, service, name));
     const auto row = view.services.find(service);
-    if (row != view.services.end()) {
-        runner.setLimits(slots == 0 ? row->second.row.slotLimit : slots, row->second.row.deadline);
+    if (row == view.services.end()) {
+        // Without the rows the view has no complete list of the service's agents yet.
+        return;
     }
+    runner.setPeers(peersFrom(view, service, name));
+    const auto &limits = row->second.row;
+    runner.setLimits(slots == 0 ? limits.slotLimit : slots, limits.deadline, limits.rampTime);
 }
 
 void Requests::State::publishLater()
--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -85,6 +85,32 @@
     EXPECT_EQ(claim(a, request(3, holders()), start + 60s).verdict, HolderVerdict::Refused);
 }
 
+TEST(ClaimsTest, RestartedAgentThatKnowsNoMembersProvesNothing)
+{
+    ClaimTable again{.self = {"b", 2}, .startedAt = start};
+    EXPECT_TRUE(holdersOf(again, "key").empty());
+    claimsFor(again, {"c", 1}, start);
+    EXPECT_TRUE(holdersOf(again, "key").empty());
+    EXPECT_EQ(claim(again, request(1, {{"b", 2}}), start).verdict, HolderVerdict::Refused);
+    EXPECT_EQ(decide({.holders = {}}), RoundDecision::Unreachable);
+}
+
+TEST(ClaimsTest, RecoveryFromTwoRivalsReleasesForNeither)
+{
+    // Found by `oriolelever-lab requests --seed 16`: the loser's release freed the winner's key.
+    auto a = table({"a", 1});
+    auto c = table({"c", 1});
+    auto rival = request(2, holders());
+    claim(a, rival, start);
+    claim(c, request(1, holders()), start);
+    ClaimTable again{.self = {"b", 2}, .startedAt = start};
+    setMembers(again, {{"a", 1}, {"b", 2}, {"c", 1}}, start);
+    recover(again, "a", claimsFor(a, again.self, start), start);
+    recover(again, "c", claimsFor(c, again.self, start), start);
+    settle(again, "key", rival.id, ClaimEnd::Released, {});
+    EXPECT_EQ(claim(again, request(3, holdersOf(again, "key")), start).verdict, HolderVerdict::Unknown);
+}
+
 TEST(ClaimsTest, MemberThatLeftKeepsItsKeysForTheWindow)
 {
     auto holder = table({"b", 1});
--- a/test/request-test.cc
+++ b/test/request-test.cc
@@ -155,6 +155,24 @@
     EXPECT_TRUE(all<HandOver>(add(further)).empty());
 }
 
+TEST_F(GateTest, UrgentRequestTriesAPeerBeforeALongWait)
+{
+    m_gate.peersAvailable = true;
+    m_gate.limiter.usualNs = 10e6;
+    sendFirst(false);
+    EXPECT_TRUE(all<HandOver>(add(facts(2, false))).empty());
+    const auto handover = all<HandOver>(add(facts(3, false))).at(0);
+    EXPECT_EQ(handover.maxWait, 10ms);
+    auto strict = facts(4, false);
+    strict.handedOver = true;
+    strict.maxWait = 10ms;
+    EXPECT_EQ(all<Finish>(add(strict)).at(0).outcome, Code::RefusedNotRun);
+    Effects effects;
+    handoverEnded(m_gate, 3, HandoverEnd::RefusedNotRun, 0ms, start, effects);
+    EXPECT_TRUE(effects.empty());
+    EXPECT_EQ(m_gate.requests.at(3).phase, Phase::Waiting);
+}
+
 TEST_F(GateTest, LostHandoverOfNonIdempotentIsUnknown)
 {
     m_gate.peersAvailable = true;
@@ -285,36 +303,72 @@
     EXPECT_EQ(evicted->request, 2U);
 }
 
+namespace {
+
+void answers(Limiter &limiter, int count, Duration elapsed, TimePoint now)
+{
+    for (int i = 0; i < count; ++i) {
+        noteStart(limiter);
+        noteAnswer(limiter, elapsed, now);
+    }
+}
+
+} // namespace
+
 TEST(LimiterTest, GrowsByEvidenceAndFallsBackWhenCold)
 {
-    Limiter limiter{.options = {.slots = 4}};
-    const auto answers = [&](int count, Duration elapsed) {
-        for (int i = 0; i < count; ++i) {
-            noteStart(limiter);
-            noteAnswer(limiter, elapsed);
-        }
-    };
-    answers(7, 10ms);
+    Limiter limiter{.options = {.slots = 4, .rampTime = 0ms}};
+    answers(limiter, 7, 10ms, start);
     EXPECT_EQ(allowed(limiter, start), 1U);
-    answers(17, 10ms);
+    answers(limiter, 17, 10ms, start);
+    EXPECT_EQ(allowed(limiter, start), 4U);
+    answers(limiter, 1, 60ms, start);
     EXPECT_EQ(allowed(limiter, start), 4U);
-    answers(1, 60ms);
+    answers(limiter, 1, 60ms, start);
     EXPECT_EQ(allowed(limiter, start), 1U);
-    answers(8, 10ms);
+    answers(limiter, 8, 10ms, start);
+    EXPECT_EQ(allowed(limiter, start), 1U);
+    answers(limiter, 12, 10ms, start);
+    EXPECT_EQ(allowed(limiter, start), 2U);
+}
+
+TEST(LimiterTest, RampHoldsTheLimitBackAfterAStart)
+{
+    Limiter limiter{.options = {.slots = 4, .rampTime = 8s}};
+    beginRamp(limiter, start);
+    answers(limiter, 100, 10ms, start + 3s);
     EXPECT_EQ(allowed(limiter, start), 1U);
-    answers(12, 10ms);
+    answers(limiter, 100, 10ms, start + 4s);
     EXPECT_EQ(allowed(limiter, start), 2U);
+    answers(limiter, 100, 10ms, start + 8s);
+    EXPECT_EQ(allowed(limiter, start), 4U);
+}
+
+TEST(LimiterTest, BadAnswersInARowAndShedRequestsLowerTheLimit)
+{
+    Limiter limiter{.options = {.slots = 4, .rampTime = 0ms}};
+    answers(limiter, 100, 10ms, start);
+    noteStart(limiter);
+    noteShed(limiter, start);
+    EXPECT_EQ(allowed(limiter, start), 0U);
+    EXPECT_EQ(allowed(limiter, start + 20ms), 3U);
+    noteStart(limiter);
+    noteStart(limiter);
+    noteBad(limiter);
+    EXPECT_EQ(allowed(limiter, start + 20ms), 3U);
+    noteBad(limiter);
+    EXPECT_EQ(allowed(limiter, start + 20ms), 1U);
 }
 
-TEST(LimiterTest, FailuresPauseLongerEachTime)
+TEST(LimiterTest, UnreachableServerPausesLongerEachTime)
 {
     Limiter limiter;
     noteStart(limiter);
-    noteFailure(limiter, start);
+    noteUnreachable(limiter, start);
     EXPECT_FALSE(hasSlot(limiter, start + 10ms));
     EXPECT_TRUE(hasSlot(limiter, start + 20ms));
     noteStart(limiter);
-    noteFailure(limiter, start + 20ms);
+    noteUnreachable(limiter, start + 20ms);
     EXPECT_FALSE(hasSlot(limiter, start + 50ms));
     EXPECT_TRUE(hasSlot(limiter, start + 60ms));
 }
--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -47,6 +47,7 @@
         , runner(agentOptions("a", 1, started(server)))
     {
         EXPECT_TRUE(runner.start());
+        runner.setPeers({});
     }
 
     static lab::HttpServerOptions onLoopback(lab::HttpServerOptions options)
@@ -282,6 +283,7 @@
         EXPECT_TRUE(server.start());
         RequestRunner agent(agentOptions("a", 1, server.endpoint()));
         EXPECT_TRUE(agent.start());
+        agent.setPeers({});
         lab::HttpCallers caller(
             {.targets = {agent.listenEndpoint()}, .concurrency = 4, .requests = requests, .ledger = ledger});
         caller.start();
