--- a/include/oriolelever/commands.h
+++ b/include/oriolelever/commands.h
@@ -5,10 +5,16 @@
 
 namespace oriolelever {
 
+/// Runs the daemon of an entry host.
+Command balancerCommand();
+/// Runs the daemon beside a backend server.
+Command agentCommand();
 /// Prints the table of result codes.
 Command codesCommand();
 /// Validates settings files and tables.
 Command checkCommand();
+/// Service-level burn per service and target.
+Command burnCommand();
 /// Shows, exports and imports the operators' table, lists and undoes changes.
 Command tableCommand();
 /// Changes cells of the table.
--- a/lab/cmd-requests.cc
+++ b/lab/cmd-requests.cc
@@ -7,11 +7,12 @@
 
 #include "commands.h"
 #include "flags.h"
+#include "measure-requests.h"
 #include "requests.h"
 
 ABSL_FLAG(std::string, request_seeds, "", "seeds to run one after another, FIRST-LAST");
 ABSL_FLAG(std::string, plant, "", "defect to plant: claims, memory, sent, truncated, crossed or end");
-ABSL_FLAG(std::string, measure, "", "measure instead of faults: overload, storm or cold");
+ABSL_FLAG(std::string, measure, "", "measure instead of faults: overload, storm, cold, overhead or restarts");
 
 namespace oriolelever::lab {
 
@@ -154,8 +155,15 @@
     if (measure == "cold") {
         return measureCold(seed);
     }
+    if (measure == "overhead") {
+        return measureOverhead(seed);
+    }
+    if (measure == "restarts") {
+        return measureRestarts(seed);
+    }
     if (!measure.empty()) {
-        return usageError(fmt::format("--measure \"{}\" is not overload, storm or cold", measure));
+        return usageError(
+            fmt::format("--measure \"{}\" is not overload, storm, cold, overhead or restarts", measure));
     }
     const auto planted = absl::GetFlag(FLAGS_plant);
     const auto plant = std::find_if(plants.begin(), plants.end(),
--- a/lab/http-callers.cc
+++ b/lab/http-callers.cc
@@ -183,7 +183,8 @@
 
 bool HttpCallers::State::answered(Call &call, long status)
 {
-    if (call.answerHeaders["Oriolelever-Outcome"] != "answered" || status != 200) {
+    const bool told = options.direct || call.answerHeaders["Oriolelever-Outcome"] == "answered";
+    if (!told || status != 200) {
         return false;
     }
     const std::lock_guard lock(mutex);
--- a/lab/http-server.cc
+++ b/lab/http-server.cc
@@ -31,16 +31,16 @@
         return ++m_runs[key];
     }
 
-    std::map<std::string, std::uint32_t> runs() const
+    bool has(const std::string &key) const
     {
         const std::lock_guard lock(m_mutex);
-        return m_runs;
+        return m_runs.contains(key);
     }
 
-    bool has(const std::string &key) const
+    std::map<std::string, std::uint32_t> runs() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_runs.contains(key);
+        return m_runs;
     }
 
 private:
--- a/lab/http-server.h
+++ b/lab/http-server.h
@@ -54,7 +54,7 @@
 std::shared_ptr<RunLedger> makeRunLedger();
 /// True if the ledger knows a run of the non-idempotent request.
 bool hasRun(const RunLedger &ledger, const std::string &key);
-/// Runs of each non-idempotent request by its key.
+/// Number of runs of each non-idempotent request.
 std::map<std::string, std::uint32_t> runsOf(const RunLedger &ledger);
 
 class HttpServer
--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -258,6 +258,7 @@
 
 void reachNode(World &world, const std::string &node, const Record &record)
 {
+    remember(world, record);
     const auto host = world.hostByName.find(node);
     if (host != world.hostByName.end()) {
         reachHost(world, host->second, record);
@@ -284,7 +285,6 @@
 {
     const auto record = orderRecord(world, event);
     world.orders[event.number] = {.record = record, .at = world.now};
-    remember(world, record);
     const bool ofZone = event.kind == EventKind::ZoneOut || event.kind == EventKind::ZoneReturn;
     if (ofZone) {
         noteZoneOrder(world, event);
@@ -326,6 +326,22 @@
     });
 }
 
+void restartAgentGracefully(World &world, std::size_t index, int tries)
+{
+    constexpr int tryLimit = 1000;
+    auto &host = world.hosts[index];
+    if (!host.alive || host.paused) {
+        return;
+    }
+    if (isCopied(host.directory) || tries >= tryLimit) {
+        restartAgent(world, index, false);
+        return;
+    }
+    prepareStop(host.directory);
+    world.after(std::chrono::milliseconds(1),
+                [&world, index, tries] { restartAgentGracefully(world, index, tries + 1); });
+}
+
 void restartBalancer(World &world, std::size_t index)
 {
     auto &balancer = world.balancers[index];
@@ -420,7 +436,13 @@
 
 void refreshBalancer(World &world, std::size_t index, std::size_t host)
 {
+    constexpr Duration refreshInterval = std::chrono::milliseconds(100);
     const auto &teller = world.hosts[host];
+    auto &refreshedAt = world.balancers[index].refreshedAt[teller.service];
+    if (refreshedAt != TimePoint{} && world.now - refreshedAt < refreshInterval) {
+        return;
+    }
+    refreshedAt = world.now;
     const auto &view = teller.records.view;
     std::vector<Record> records;
     for (const auto &[name, entry] : view.nodes) {
--- a/src/directory-copies.cc
+++ b/src/directory-copies.cc
@@ -10,29 +10,16 @@
 
 constexpr std::size_t copyLimit = 50; ///< Flows in one message.
 
-// The next reachable agent in the order of ids.
-ServerId nextAgent(const Directory &directory)
-{
-    const auto &servers = directory.route->servers;
-    const auto self = std::find_if(servers.begin(), servers.end(), [&](const RouteServer &server) {
-        return server.id == directory.options.self;
-    });
-    const auto first = static_cast<std::size_t>(self - servers.begin());
-    for (std::size_t i = 1; i <= servers.size(); ++i) {
-        const auto &server = servers[(first + i) % servers.size()];
-        if (server.id != directory.options.self && server.reachable()) {
-            return server.id;
-        }
-    }
-    return {};
-}
-
 void beginFullCopy(Directory &directory, ServerId keeper, TimePoint now)
 {
     auto &copy = directory.copy;
     copy.keeper = keeper;
+    copy.keeperIncarnation = directory.peers[keeper].incarnation;
+    copy.first = true;
+    ++copy.sequence;
     copy.completeAt = now;
     copy.sent.clear();
+    copy.unanswered = false;
     copy.waiting.clear();
     for (const auto &[caller, entry] : directory.flows) {
         if (entry.holder == directory.options.self && !entry.closing) {
@@ -47,33 +34,79 @@
     copy.sentAt = now;
     DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
     message.copy.sequence = copy.sequence;
+    message.copy.first = copy.first;
     for (const auto &item : copy.sent) {
         (item.ended ? message.copy.ended : message.copy.callers).push_back(item.caller);
     }
     sendMessage(directory, copy.keeper, std::move(message), effects);
 }
 
+void keepCopies(Directory &directory, ServerId from, const CopyMessage &copy, TimePoint now)
+{
+    if (copy.first) {
+        absl::erase_if(directory.flows, [&](const auto &item) {
+            const auto &entry = item.second;
+            return entry.copied && entry.holder == from && !ownsBucket(directory, entry.bucket);
+        });
+    }
+    for (const auto &caller : copy.callers) {
+        putFlow(directory, caller, from, true, now);
+        directory.flows[caller].copied = directory.flows[caller].holder == from;
+    }
+    for (const auto &caller : copy.ended) {
+        const auto known = directory.flows.find(caller);
+        if (known != directory.flows.end() && known->second.holder == from) {
+            eraseFlow(directory, caller);
+        }
+    }
+}
+
+void answerCopy(Directory &directory, ServerId to, std::uint64_t sequence, Effects &effects)
+{
+    DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
+    message.copy.sequence = sequence;
+    message.copy.answer = true;
+    sendMessage(directory, to, std::move(message), effects);
+}
+
 } // namespace
 
+ServerId keeperOf(const ServiceRoute &route, ServerId server)
+{
+    const auto &servers = route.servers;
+    const auto next = std::upper_bound(servers.begin(), servers.end(), server,
+                                       [](ServerId id, const RouteServer &other) { return id < other.id; });
+    const auto first = static_cast<std::size_t>(next - servers.begin());
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto &candidate = servers[(first + i) % servers.size()];
+        if (candidate.id != server && candidate.reachable()) {
+            return candidate.id;
+        }
+    }
+    return {};
+}
+
 void sendCopies(Directory &directory, TimePoint now, Effects &effects)
 {
     auto &copy = directory.copy;
-    const auto keeper = nextAgent(directory);
+    const auto keeper = keeperOf(*directory.route, directory.options.self);
     if (!keeper) {
         copy.keeper = {};
         return;
     }
-    if (keeper != copy.keeper || now - copy.completeAt > directory.options.copyInterval) {
+    const bool changed
+        = keeper != copy.keeper || directory.peers[keeper].incarnation != copy.keeperIncarnation;
+    if (changed || now - copy.completeAt > directory.options.copyInterval) {
         beginFullCopy(directory, keeper, now);
     }
-    if (!copy.sent.empty()) {
+    if (copy.unanswered) {
         if (now - copy.sentAt >= directory.options.askRetry) {
             sendBatch(directory, now, effects);
         }
         return;
     }
     const bool due = copy.waiting.size() >= copyLimit || now - copy.sentAt >= directory.options.copyDelay;
-    if (copy.waiting.empty() || !due) {
+    if (!copy.first && (copy.waiting.empty() || !due)) {
         return;
     }
     const auto count = std::min(copyLimit, copy.waiting.size());
@@ -81,6 +114,7 @@
     copy.sent.assign(copy.waiting.begin(), end);
     copy.waiting.erase(copy.waiting.begin(), end);
     ++copy.sequence;
+    copy.unanswered = true;
     sendBatch(directory, now, effects);
 }
 
@@ -92,30 +126,31 @@
     if (copy.answer) {
         if (from == directory.copy.keeper && copy.sequence == directory.copy.sequence) {
             directory.copy.sent.clear();
+            directory.copy.unanswered = false;
+            directory.copy.first = false;
             sendCopies(directory, now, effects);
         }
         return;
     }
-    for (const auto &caller : copy.callers) {
-        putFlow(directory, caller, from, true, now);
-    }
-    for (const auto &caller : copy.ended) {
-        const auto known = directory.flows.find(caller);
-        if (known != directory.flows.end() && known->second.holder == from) {
-            eraseFlow(directory, caller);
-        }
+    auto &peer = directory.peers[from];
+    if (copy.sequence > peer.copySequence) {
+        peer.copySequence = copy.sequence;
+        keepCopies(directory, from, copy, now);
     }
-    DirectoryMessage message{.kind = DirectoryMessageKind::Copy};
-    message.copy.sequence = copy.sequence;
-    message.copy.answer = true;
-    sendMessage(directory, from, std::move(message), effects);
+    answerCopy(directory, from, copy.sequence, effects);
 }
 
 } // namespace detail
 
+void prepareStop(Directory &directory)
+{
+    directory.options.copyDelay = Duration{0};
+}
+
 bool isCopied(const Directory &directory)
 {
-    return directory.copy.waiting.empty() && directory.copy.sent.empty();
+    const auto &copy = directory.copy;
+    return copy.waiting.empty() && !copy.unanswered && !copy.first;
 }
 
 } // namespace oriolelever
--- a/src/main.cc
+++ b/src/main.cc
@@ -5,6 +5,9 @@
 int main(int argc, char **argv)
 {
     const auto commands = std::to_array<oriolelever::Command>({
+        oriolelever::agentCommand(),
+        oriolelever::balancerCommand(),
+        oriolelever::burnCommand(),
         oriolelever::checkCommand(),
         oriolelever::codesCommand(),
         oriolelever::drainCommand(),
