--- a/include/oriolelever/traffic.h
+++ b/include/oriolelever/traffic.h
@@ -16,6 +16,7 @@
 namespace oriolelever {
 
 class Metrics;
+class Node;
 class Records;
 
 /// Copies the counters of packet threads into the registry, as `oriolelever_packets_total{kind, name}`.
@@ -73,7 +74,8 @@
     TimePoint m_drainStart;
 };
 
-/// Packet path of an agent. Needs "records"; uses "metrics" and "admin" if they are there.
+/// Packet path of an agent. Needs "records"; uses "metrics", "admin" and "node" if they are there. Announces
+/// by the node when the backend server has become warm, or cold again.
 class AgentTraffic : public Service
 {
 public:
@@ -85,6 +87,10 @@
     void drain(std::function<void()> done) override;
     void stop() override;
 
+    /// State to announce for a backend server of this warmth, 0 to 1, now announced as `current`. It is ready
+    /// once it is fully warm, and cold again when it has lost half of it.
+    static NodeState stateFor(double warmth, NodeState current);
+
     /// An answer of the backend server that another part has measured; any thread may call it.
     void addSample(const AnswerSample &sample);
 
@@ -111,6 +117,7 @@
     std::shared_ptr<const ServiceRoute> m_route;
     RoutingBuilder m_builder;
     Records *m_records = nullptr;
+    Node *m_node = nullptr;
     std::unique_ptr<PathMetrics> m_metrics;
     std::unique_ptr<asio::steady_timer> m_timer;
     std::unique_ptr<asio::steady_timer> m_drainTimer;
--- a/src/agent-traffic.cc
+++ b/src/agent-traffic.cc
@@ -3,6 +3,7 @@
 #include "oriolelever/admin.h"
 #include "oriolelever/log.h"
 #include "oriolelever/metrics.h"
+#include "oriolelever/node.h"
 #include "oriolelever/records.h"
 #include "oriolelever/traffic.h"
 #include "traffic-detail.h"
@@ -17,6 +18,9 @@
     return instance;
 }
 
+constexpr double fullWarmth = 0.99;
+constexpr double lostWarmth = 0.5;
+
 nlohmann::json statusOf(const AgentPath &path)
 {
     const auto figures = path.figures();
@@ -70,6 +74,7 @@
     m_records = &kernel.find<Records>("records");
     m_records->subscribe([this](const std::vector<Record> &changed) { onRecords(changed); });
     onRecords(detail::recordsOf(m_records->view()));
+    m_node = kernel.tryFind<Node>("node");
     if (auto *const metrics = kernel.tryFind<Metrics>("metrics")) {
         m_metrics = std::make_unique<PathMetrics>(*metrics);
     }
@@ -104,6 +109,9 @@
     if (m_metrics) {
         m_metrics->update([this](const auto &visit) { visit(m_path->counters()); });
     }
+    if (m_node != nullptr) {
+        m_node->setState(stateFor(m_path->figures().warmth, m_node->announcement().state));
+    }
     m_timer->expires_after(detail::metricsInterval);
     m_timer->async_wait([this](const asio::error_code &error) {
         if (!error) {
@@ -112,6 +120,14 @@
     });
 }
 
+NodeState AgentTraffic::stateFor(double warmth, NodeState current)
+{
+    if (warmth >= fullWarmth) {
+        return NodeState::Ready;
+    }
+    return warmth < lostWarmth ? NodeState::Cold : current;
+}
+
 void AgentTraffic::addSample(const AnswerSample &sample)
 {
     m_path->addSample(sample);
