--- a/bench/packet-bench.cc
+++ b/bench/packet-bench.cc
@@ -291,7 +291,7 @@
                 continue;
             }
             const PathData path{.service = decision->service, .target = decision->incarnation};
-            routed += prependGue(outer.payload, false, outer.type, path, keys).size() != 0 ? 1 : 0;
+            routed += prependGue(outer.payload, false, outer.type, path, keys).empty() ? 0 : 1;
             prependPlainGue(outer.payload);
         }
     }
