--- a/include/oriolelever/records.h
+++ b/include/oriolelever/records.h
@@ -25,6 +25,7 @@
 
 namespace detail {
 
+constexpr auto recordsPath = "/records";
 constexpr auto forcePath = "/in-force";
 
 } // namespace detail
@@ -37,6 +38,7 @@
     std::string service; ///< Of an agent; empty for a balancer.
     std::vector<Endpoint> seeds; ///< Processes to join through.
     std::chrono::milliseconds pushDelay{20}; ///< Changes within this time travel together.
+    std::chrono::milliseconds watcherTurn{150}; ///< Between the turns of the platform's watchers.
     std::chrono::milliseconds exchangeInterval{1000}; ///< Between comparisons with another process.
     std::chrono::milliseconds callTimeout{1000};
     std::chrono::milliseconds watchWait{20000}; ///< Longest wait of one watch of the platform.
@@ -104,8 +106,9 @@
     }
 
     /// Live balancers by label, from the view.
-    const std::vector<Member> &members() const
+    const std::vector<Member> &members()
     {
+        refreshMembers();
         return m_members;
     }
 
@@ -127,30 +130,58 @@
     }
 
 private:
+    /// How a record came here.
+    enum class Origin {
+        Own, ///< Made here: spread to all.
+        Platform, ///< Spread to all, unless another watcher's broadcast comes first.
+        Push, ///< Passed on along the dimensions from `depth` on.
+        Repair, ///< By comparison: others find it the same way.
+    };
+
+    struct Source
+    {
+        Origin origin = Origin::Own;
+        std::string from; ///< Who sent it; empty for this process.
+        unsigned depth = 0;
+    };
+
+    /// A change to be passed on along the dimensions of `part`.
     struct Pending
     {
         Record record;
-        std::string from; ///< Who sent it; empty for this process.
+        std::optional<ZoneLoss> loss; ///< In place of a record.
+        BroadcastPart part;
+        TimePoint due;
+        bool waiting = false; ///< Dropped if another broadcast of it comes before `due`.
     };
 
-    using PendingLosses = std::vector<std::pair<ZoneLoss, std::string>>; ///< Each with who sent it.
+    /// A change to be told to the agents attached here.
+    struct AgentPending
+    {
+        Record record;
+        std::string from;
+    };
 
-    bool apply(const Record &record, const std::string &from);
-    void applyAll(const std::vector<Record> &records, const std::string &from);
-    void applyLosses(const std::vector<ZoneLoss> &losses, const std::string &from);
+    bool apply(const Record &record, const Source &source);
+    void applyAll(const std::vector<Record> &records, const Source &source);
+    void applyLosses(const std::vector<ZoneLoss> &losses, const Source &source);
+    void spread(const Record &record, const Source &source);
+    Duration watcherDelay(std::uint64_t change) const;
     void noteOwn(const Record &record);
     void notify();
     void refreshMembers();
     void schedulePush();
     void push();
+    std::vector<Pending> takeDue(TimePoint now);
     void pushAsAgent(const std::vector<Pending> &pending);
-    void pushChanges(const std::string &name, const Endpoint &peer, const std::vector<Pending> &pending,
-                     const PendingLosses &losses, const std::string &service);
-    std::vector<Member> neighbours() const;
-    void pushTo(const Endpoint &peer, Exchange message, std::size_t attempts);
+    void pushAlongEdges(const std::vector<Pending> &pending);
+    void pushToAgents();
+    void pushTo(std::vector<Endpoint> peers, const Exchange &message);
     void scheduleExchange();
     void exchange();
     void exchangeWith(const Endpoint &peer, Exchange request, int messages);
+    void takeAnswer(const Endpoint &peer, const Exchange &answer, int messages);
+    void answerWithOwn(const Endpoint &peer, const Exchange &answer);
     void handleExchange(const std::string &body, const Streams::Reply &reply);
     Exchange answer(const Exchange &request);
     Exchange answerAgent(const Exchange &request);
@@ -177,13 +208,20 @@
     std::vector<Subscriber> m_subscribers;
     std::vector<Record> m_changed; ///< Not yet told to subscribers.
     std::vector<Pending> m_pending; ///< Not yet sent to neighbours.
-    PendingLosses m_pendingLosses;
+    std::vector<AgentPending> m_agentPending;
+    std::vector<ZoneLoss> m_agentLosses;
+    Broadcasts m_broadcasts;
     std::deque<std::uint64_t> m_seenLosses;
     std::vector<Member> m_members;
     std::map<std::string, Endpoint> m_attachedAgents;
     std::map<std::string, std::string> m_attachedServices; ///< Service of each attached agent.
     std::map<std::string, TimePoint> m_attachedHeard;
     std::vector<Member> m_attachments;
+    std::map<Endpoint, TimePoint> m_unreachable; ///< Balancers that did not answer this agent, and when.
+    std::size_t m_fleetSize = 0; ///< Members, as an agent was told.
+    std::uint64_t m_assigned = 0; ///< Digest of the balancers that this agent was told to attach to.
+    std::size_t m_turn = 0; ///< Attachment that is compared with next.
+    bool m_membersChanged = false;
     std::optional<Announcement> m_own;
     bool m_pushScheduled = false;
     bool m_notifyScheduled = false;
