--- a/lab/main.cc
+++ b/lab/main.cc
@@ -14,6 +14,8 @@
         oriolelever::lab::replayCommand(),
         oriolelever::lab::sweepCommand(),
         oriolelever::lab::requestsCommand(),
+        oriolelever::lab::controlCommand(),
+        oriolelever::lab::stabilityCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
