--- a/include/oriolelever/traffic.h
+++ b/include/oriolelever/traffic.h
@@ -74,7 +74,8 @@
     TimePoint m_drainStart;
 };
 
-/// Packet path of an agent. Needs "records"; uses "metrics" and "admin" if they are there.
+/// Packet path of an agent. Needs "records"; uses "metrics", "admin" and "node" if they are there. Announces
+/// by the node when the backend server has become warm, or cold again.
 class AgentTraffic : public Service
 {
 public:
@@ -86,6 +87,10 @@
     void drain(std::function<void()> done) override;
     void stop() override;
 
+    /// State to announce for a backend server of this warmth, 0 to 1, now announced as `current`. It is ready
+    /// once it is fully warm, and cold again when it has lost half of it.
+    static NodeState stateFor(double warmth, NodeState current);
+
     /// An answer of the backend server that another part has measured; any thread may call it.
     void addSample(const AnswerSample &sample);
 
--- a/src/agent-traffic.cc
+++ b/src/agent-traffic.cc
@@ -18,6 +18,9 @@
     return instance;
 }
 
+constexpr double fullWarmth = 0.99;
+constexpr double lostWarmth = 0.5;
+
 nlohmann::json statusOf(const AgentPath &path)
 {
     const auto figures = path.figures();
@@ -107,7 +110,7 @@
         m_metrics->update([this](const auto &visit) { visit(m_path->counters()); });
     }
     if (m_node != nullptr) {
-        m_node->setState(stateOfWarmth(m_node->announcement().state, m_path->figures().warmth));
+        m_node->setState(stateFor(m_path->figures().warmth, m_node->announcement().state));
     }
     m_timer->expires_after(detail::metricsInterval);
     m_timer->async_wait([this](const asio::error_code &error) {
@@ -117,6 +120,14 @@
     });
 }
 
+NodeState AgentTraffic::stateFor(double warmth, NodeState current)
+{
+    if (warmth >= fullWarmth) {
+        return NodeState::Ready;
+    }
+    return warmth < lostWarmth ? NodeState::Cold : current;
+}
+
 void AgentTraffic::addSample(const AnswerSample &sample)
 {
     m_path->addSample(sample);
--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include "agents.h"
 #include "http-callers.h"
 #include "http-server.h"
 
@@ -27,29 +28,17 @@
     return endpoint;
 }
 
-RequestsOptions agentOptions(const std::string &name, Incarnation incarnation, const Endpoint &server)
-{
-    RequestsOptions options;
-    options.self = {name, incarnation};
-    options.front.listen = loopback();
-    options.upstream.server = server;
-    options.handover.listen = loopback();
-    options.handover.tls.plain = true;
-    options.claims.clockTolerance = 0ms;
-    options.linger = 100ms;
-    return options;
-}
-
 struct Agent
 {
     using Finished = std::function<void(Code outcome, Duration took)>;
 
     explicit Agent(lab::HttpServerOptions options = {.serviceTime = 1ms}, Finished finished = {})
         : server(onLoopback(options), lab::makeRunLedger())
-        , runner(agentOptions("a", 1, started(server)))
+        , runner(lab::loopbackAgentOptions("a", 1, started(server)))
     {
         runner.onFinished(std::move(finished));
         EXPECT_TRUE(runner.start());
+        runner.setPeers({});
     }
 
     static lab::HttpServerOptions onLoopback(lab::HttpServerOptions options)
@@ -68,121 +57,15 @@
     RequestRunner runner;
 };
 
-// Agents of one service that know each other.
-class Cluster
+class Cluster : public lab::AgentCluster
 {
 public:
-    explicit Cluster(std::size_t count)
-    {
-        for (std::size_t i = 0; i < count; ++i) {
-            m_servers.push_back(std::make_unique<lab::HttpServer>(
-                Agent::onLoopback({.serviceTime = 1ms, .seed = i}), ledger));
-            EXPECT_TRUE(m_servers.back()->start());
-            m_incarnations.push_back(1);
-            m_agents.push_back(makeAgent(i, loopback(), loopback()));
-        }
-        tellPeers();
-    }
-
-    std::unique_ptr<RequestRunner> makeAgent(std::size_t i, const Endpoint &listen, const Endpoint &handover)
-    {
-        auto options = agentOptions(fmt::format("agent-{}", i), m_incarnations[i], m_servers[i]->endpoint());
-        options.front.listen = listen;
-        options.handover.listen = handover;
-        auto agent = std::make_unique<RequestRunner>(options);
-        EXPECT_TRUE(agent->start());
-        return agent;
-    }
-
-    void tellPeers()
-    {
-        for (std::size_t i = 0; i < m_agents.size(); ++i) {
-            std::vector<RequestPeer> peers;
-            for (std::size_t j = 0; j < m_agents.size(); ++j) {
-                if (j == i || m_agents[j] == nullptr) {
-                    continue;
-                }
-                const Holder holder{fmt::format("agent-{}", j), m_incarnations[j]};
-                peers.push_back({holder, m_agents[j]->handoverEndpoint(), true});
-            }
-            if (m_agents[i] != nullptr) {
-                m_agents[i]->setPeers(peers);
-            }
-        }
-    }
-
-    // A dated key is proven fresh once it is younger than the holders.
-    void waitForRecovery()
+    Cluster()
+        : AgentCluster(3, {.serviceTime = 1ms})
     {
+        // A dated key is proven fresh once it is younger than the holders.
         std::this_thread::sleep_for(30ms);
     }
-
-    void stop(std::size_t i)
-    {
-        m_agents[i]->stop();
-    }
-
-    void stopServer(std::size_t i)
-    {
-        m_servers[i]->stop();
-    }
-
-    void restart(std::size_t i)
-    {
-        const auto listen = m_agents[i]->listenEndpoint();
-        const auto handover = m_agents[i]->handoverEndpoint();
-        m_agents[i].reset();
-        ++m_incarnations[i];
-        m_agents[i] = makeAgent(i, listen, handover);
-        tellPeers();
-    }
-
-    void drainAndRestart(std::size_t i)
-    {
-        std::promise<void> drained;
-        m_agents[i]->drain([&] { drained.set_value(); });
-        drained.get_future().wait();
-        restart(i);
-    }
-
-    Endpoint endpoint(std::size_t i) const
-    {
-        return m_agents[i]->listenEndpoint();
-    }
-
-    std::vector<Endpoint> endpoints() const
-    {
-        std::vector<Endpoint> all;
-        for (const auto &agent : m_agents) {
-            all.push_back(agent->listenEndpoint());
-        }
-        return all;
-    }
-
-    std::uint64_t runs() const
-    {
-        std::uint64_t sum = 0;
-        for (const auto &server : m_servers) {
-            sum += server->figures().runs;
-        }
-        return sum;
-    }
-
-    std::uint64_t ranTwice() const
-    {
-        std::uint64_t sum = 0;
-        for (const auto &server : m_servers) {
-            sum += server->figures().ranTwice;
-        }
-        return sum;
-    }
-
-    std::shared_ptr<lab::RunLedger> ledger = lab::makeRunLedger();
-
-private:
-    std::vector<std::unique_ptr<lab::HttpServer>> m_servers;
-    std::vector<std::unique_ptr<RequestRunner>> m_agents;
-    std::vector<Incarnation> m_incarnations;
 };
 
 struct Fetched
@@ -283,8 +166,9 @@
         listening.listen = loopback();
         lab::HttpServer server(listening, ledger);
         EXPECT_TRUE(server.start());
-        RequestRunner agent(agentOptions("a", 1, server.endpoint()));
+        RequestRunner agent(lab::loopbackAgentOptions("a", 1, server.endpoint()));
         EXPECT_TRUE(agent.start());
+        agent.setPeers({});
         lab::HttpCallers caller(
             {.targets = {agent.listenEndpoint()}, .concurrency = 4, .requests = requests, .ledger = ledger});
         caller.start();
@@ -423,8 +307,7 @@
 
 TEST_F(RequestsTest, RepetitionThroughAnotherAgentFindsTheFirstAnswer)
 {
-    Cluster cluster(3);
-    cluster.waitForRecovery();
+    Cluster cluster;
     const auto key = lab::makeKey(1);
     auto first = fetch(cluster.endpoint(0), "/dossier", key, "dossier");
     ASSERT_EQ(first.status, 200) << first.headers["Oriolelever-Reason"];
@@ -436,8 +319,7 @@
 
 TEST_F(RequestsTest, RepetitionAfterTheAgentsRestartFindsTheFirstAnswer)
 {
-    Cluster cluster(3);
-    cluster.waitForRecovery();
+    Cluster cluster;
     const auto key = lab::makeKey(2);
     ASSERT_EQ(fetch(cluster.endpoint(0), "/dossier", key, "dossier").status, 200);
     cluster.restart(0);
@@ -448,8 +330,7 @@
 
 TEST_F(RequestsTest, KeyWithoutReachableHoldersIsRefusedAsNotRun)
 {
-    Cluster cluster(3);
-    cluster.waitForRecovery();
+    Cluster cluster;
     cluster.stop(1);
     cluster.stop(2);
     auto answer = fetch(cluster.endpoint(0), "/dossier", lab::makeKey(3), "dossier");
@@ -460,8 +341,7 @@
 
 TEST_F(RequestsTest, UndatedKeyIsNotProvenFreshByAShortMemory)
 {
-    Cluster cluster(3);
-    cluster.waitForRecovery();
+    Cluster cluster;
     auto answer = fetch(cluster.endpoint(0), "/dossier", "opaque", "dossier");
     EXPECT_EQ(answer.headers["Oriolelever-Reason"], "not-proven-fresh");
     EXPECT_GT(std::stoll(answer.headers["Oriolelever-Retry-After-Ms"]), 500'000);
@@ -470,8 +350,7 @@
 
 TEST_F(RequestsTest, RequestIsHandedOverWhenTheServerIsDown)
 {
-    Cluster cluster(3);
-    cluster.waitForRecovery();
+    Cluster cluster;
     cluster.stopServer(0);
     auto answer = fetch(cluster.endpoint(0), "/dossier", lab::makeKey(4), "dossier");
     EXPECT_EQ(answer.status, 200);
@@ -480,9 +359,8 @@
 
 TEST_F(RequestsTest, DrainUnderLoadCutsNothing)
 {
-    Cluster cluster(3);
-    cluster.waitForRecovery();
-    lab::HttpCallers callers({.targets = cluster.endpoints(), .concurrency = 6, .ledger = cluster.ledger});
+    Cluster cluster;
+    lab::HttpCallers callers({.targets = cluster.endpoints(), .concurrency = 6, .ledger = cluster.ledger()});
     callers.start();
     for (std::size_t i = 0; i < 3; ++i) {
         cluster.drainAndRestart(i);
