Membership tests take a loopback address of their own

Cause: MembersTest.LostZoneIsOneRecord failed once in a run of all tests: another test held the UDP port whose number the streams had got for TCP. Change: each test process has its own loopback address. Conclusion: the verdict no longer depends on which ports others hold.

--- a/test/members-test.cc
+++ b/test/members-test.cc
@@ -1,7 +1,10 @@
 #include "oriolelever/members.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "fakes.h"
@@ -13,10 +16,15 @@
 
 constexpr std::chrono::seconds watchdog{30};
 
+// An address of this test process's own: the heartbeats' UDP port has the number of the streams' TCP port,
+// and at a shared address another test may hold it.
 Endpoint loopback()
 {
+    constexpr int hostsInByte = 250;
+    const int pid = getpid();
     Endpoint endpoint;
-    parseIpAddress("127.0.0.1", endpoint.address);
+    parseIpAddress(fmt::format("127.{}.{}.1", 1 + pid / hostsInByte % hostsInByte, 1 + pid % hostsInByte),
+                   endpoint.address);
     return endpoint;
 }
 
