--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -1,5 +1,6 @@
 #include "oriolelever/requests.h"
 
+#include <array>
 #include <future>
 #include <map>
 #include <thread>
@@ -293,6 +294,48 @@
     EXPECT_EQ(agent.server.figures().received, 0U);
 }
 
+TEST_F(RequestsTest, ConnectionsOfOneCallerAreLimited)
+{
+    lab::HttpServer server(Agent::onLoopback({}), lab::makeRunLedger());
+    auto options = lab::loopbackAgentOptions("a", 1, Agent::started(server));
+    options.front.maxConnectionsPerCaller = 2;
+    RequestRunner runner(options);
+    ASSERT_TRUE(runner.start());
+    asio::io_context context;
+    const auto ask = [&](asio::ip::tcp::socket &caller) {
+        send(caller, "GET /status HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::array<char, 12> head{};
+        asio::error_code error;
+        asio::read(caller, asio::buffer(head), error);
+        return !error;
+    };
+    auto first = connectTo(context, runner.listenEndpoint());
+    EXPECT_TRUE(ask(first));
+    auto second = connectTo(context, runner.listenEndpoint());
+    EXPECT_TRUE(ask(second));
+    auto third = connectTo(context, runner.listenEndpoint());
+    EXPECT_FALSE(ask(third));
+}
+
+TEST_F(RequestsTest, SlowAndLargeRequestsAreCutOff)
+{
+    lab::HttpServer server(Agent::onLoopback({}), lab::makeRunLedger());
+    auto options = lab::loopbackAgentOptions("a", 1, Agent::started(server));
+    options.front.readLimit = 50ms;
+    options.front.maxBodyBytes = 1000;
+    RequestRunner runner(options);
+    ASSERT_TRUE(runner.start());
+    asio::io_context context;
+    const std::string head = "POST /dossier HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n";
+    for (const auto &shape :
+         {std::string("GET /status HTTP/1.1\r\nHo"), head + "half", head + std::string(100'000, 'x')}) {
+        auto caller = connectTo(context, runner.listenEndpoint());
+        send(caller, shape);
+        EXPECT_FALSE(receiveAll(caller).starts_with("HTTP/1.1 200"));
+    }
+    EXPECT_EQ(server.figures().received, 0U);
+}
+
 TEST_F(RequestsTest, FoldedHeaderIsOneHeaderOfOneRequest)
 {
     Agent agent;
