Operators' access, measured values, pages of operating and settings

Cause: operators need to see what is measured beside a target, and not everyone may ask. Change: tokens with roles, kept as hashes and compared in constant time; the table shows flows, imbalance, availability and latency; the page of settings is generated and a test compares it. Conclusion: the admin endpoints answer only operators that the settings name, where they name any.

--- a/include/oriolelever/admin.h
+++ b/include/oriolelever/admin.h
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "oriolelever/access.h"
 #include "oriolelever/kernel.h"
 #include "oriolelever/metrics.h"
 #include "oriolelever/types.h"
@@ -21,8 +22,9 @@
 class Admin : public Service
 {
 public:
-    /// `metrics` must outlive the service; port 0 of `address` takes any free one.
-    Admin(Endpoint address, Metrics &metrics);
+    /// `tokens` guard /status and the questions; /metrics and /health are open to all. `metrics` must outlive
+    /// the service; port 0 of `address` takes any free one.
+    Admin(Endpoint address, Metrics &metrics, std::vector<OperatorToken> tokens = {});
     ~Admin() override;
 
     Result<void> start(Kernel &kernel) override;
@@ -40,8 +42,9 @@
     /// Takes the HTTP status and the answer, once.
     using Reply = std::function<void(int status, const nlohmann::json &answer)>;
 
-    /// Answers GET requests of `path`, such as "/in-force"; called on the control thread.
-    void addQuery(std::string path, std::function<void(const Query &, Reply)> handler);
+    /// Answers GET requests of `path`, such as "/in-force", of operators of `role` or above; called on the
+    /// control thread.
+    void addQuery(std::string path, OperatorRole role, std::function<void(const Query &, Reply)> handler);
 
     /// Makes /health answer 503 from now on.
     void setDraining();
@@ -60,8 +63,16 @@
 
     Endpoint m_address;
     Metrics &m_metrics;
+    std::vector<OperatorToken> m_tokens;
     std::map<std::string, std::function<nlohmann::json()>> m_providers;
-    std::map<std::string, std::function<void(const Query &, Reply)>> m_queries;
+
+    struct Question
+    {
+        OperatorRole role = OperatorRole::Viewer;
+        std::function<void(const Query &, Reply)> handler;
+    };
+
+    std::map<std::string, Question> m_queries;
     std::unique_ptr<Server> m_server;
     std::uint16_t m_port = 0;
     bool m_draining = false;
--- a/include/oriolelever/commands.h
+++ b/include/oriolelever/commands.h
@@ -7,6 +7,10 @@
 
 /// Prints the table of result codes.
 Command codesCommand();
+/// Prints every setting of every role.
+Command settingsCommand();
+/// Makes a token of an operator.
+Command tokenCommand();
 /// Validates settings files and tables.
 Command checkCommand();
 /// Service-level burn per service and target.
--- a/include/oriolelever/levels.h
+++ b/include/oriolelever/levels.h
@@ -51,4 +51,8 @@
 /// Samples of every service from the processes' status, merged by time.
 ServiceSamples collectSamples(std::span<const nlohmann::json> statuses);
 
+/// Measured values of services, zones and servers from the processes' status: flows, load over the limit,
+/// imbalance (largest over mean load), and of the last hour availability and 99th percentile of answers.
+Measured measureRows(std::span<const nlohmann::json> statuses, WallTime now);
+
 } // namespace oriolelever
--- a/include/oriolelever/operator.h
+++ b/include/oriolelever/operator.h
@@ -22,9 +22,10 @@
     std::string body;
 };
 
-/// Asks `path` of every address at once; the answers are in the order of `addresses`.
+/// Asks `path` of every address at once, under a bearer token unless it is empty; the answers are in the
+/// order of `addresses`.
 std::vector<Fetched> fetchAll(const std::vector<Endpoint> &addresses, const std::string &path,
-                              std::chrono::milliseconds timeout);
+                              const std::string &token, std::chrono::milliseconds timeout);
 
 /// One process and what it reports of itself.
 struct ProcessStatus
@@ -34,9 +35,8 @@
     nlohmann::json status; ///< The members that its services provide.
 };
 
-/// Reads /status of every address.
-std::vector<ProcessStatus> readStatuses(const std::vector<Endpoint> &addresses,
-                                        std::chrono::milliseconds timeout);
+/// Reads /status of every process of setting "operator.admin".
+std::vector<ProcessStatus> readStatuses(const Settings &settings, std::chrono::milliseconds timeout);
 
 /// Which live processes have a version of a row in force.
 struct InForce
--- a/include/oriolelever/settings.h
+++ b/include/oriolelever/settings.h
@@ -38,6 +38,12 @@
     std::string_view help;
 };
 
+/// What a setting allows, in words.
+std::string allowedText(const SettingSpec &spec);
+
+/// Every setting of every role as a Markdown page, the same as docs/SETTINGS.md.
+std::string settingsDocument();
+
 /// One problem of a settings file or table.
 struct Problem
 {
--- a/src/admin.cc
+++ b/src/admin.cc
@@ -100,14 +100,18 @@
         } else if (path == "/health") {
             auto status = admin.m_draining ? restinio::status_service_unavailable() : restinio::status_ok();
             answer(request, std::move(status), "text/plain", admin.m_draining ? "draining\n" : "ok\n");
+        } else if (!isPermitted(admin, path, request)) {
+            answer(request, restinio::status_unauthorized(), "text/plain", "a bearer token is needed\n");
         } else if (path == "/status") {
             answer(request, restinio::status_ok(), "application/json", admin.status().dump());
         } else if (admin.m_queries.contains(path)) {
-            admin.m_queries.at(path)(queryOf(request), [request](int status, const nlohmann::json &json) {
-                const auto code = static_cast<std::uint16_t>(status);
-                answer(request, restinio::http_status_line_t(restinio::http_status_code_t(code), "answer"),
-                       "application/json", json.dump());
-            });
+            admin.m_queries.at(path).handler(
+                queryOf(request), [request](int status, const nlohmann::json &json) {
+                    const auto code = static_cast<std::uint16_t>(status);
+                    answer(request,
+                           restinio::http_status_line_t(restinio::http_status_code_t(code), "answer"),
+                           "application/json", json.dump());
+                });
         } else {
             answer(request, restinio::status_not_found(), "text/plain",
                    "paths: /metrics, /health, /status\n");
@@ -115,6 +119,17 @@
         return restinio::request_accepted();
     }
 
+    static bool isPermitted(const Admin &admin, const std::string &path,
+                            const restinio::request_handle_t &request)
+    {
+        const auto question = admin.m_queries.find(path);
+        const auto role = question == admin.m_queries.end() ? OperatorRole::Viewer : question->second.role;
+        constexpr std::string_view scheme = "Bearer ";
+        const std::string given(request->header().get_field_or(restinio::http_field::authorization, ""));
+        const bool bearer = given.starts_with(scheme);
+        return isAllowed(admin.m_tokens, bearer ? given.substr(scheme.size()) : std::string(), role);
+    }
+
     static Query queryOf(const restinio::request_handle_t &request)
     {
         Query query;
@@ -127,9 +142,10 @@
     restinio::http_server_t<Traits> m_http;
 };
 
-Admin::Admin(Endpoint address, Metrics &metrics)
+Admin::Admin(Endpoint address, Metrics &metrics, std::vector<OperatorToken> tokens)
     : m_address(address)
     , m_metrics(metrics)
+    , m_tokens(std::move(tokens))
 {
 }
 
@@ -166,9 +182,9 @@
     m_providers[std::move(name)] = std::move(provider);
 }
 
-void Admin::addQuery(std::string path, std::function<void(const Query &, Reply)> handler)
+void Admin::addQuery(std::string path, OperatorRole role, std::function<void(const Query &, Reply)> handler)
 {
-    m_queries[std::move(path)] = std::move(handler);
+    m_queries[std::move(path)] = {role, std::move(handler)};
 }
 
 void Admin::setDraining()
--- a/src/cmd-burn.cc
+++ b/src/cmd-burn.cc
@@ -85,7 +85,7 @@
         return reportError(services.error());
     }
     std::vector<nlohmann::json> statuses;
-    for (auto &process : readStatuses(settings->addresses("operator", "admin"), statusTimeout)) {
+    for (auto &process : readStatuses(*settings, statusTimeout)) {
         statuses.push_back(std::move(process.status));
     }
     const auto samples = collectSamples(statuses);
--- a/src/cmd-status.cc
+++ b/src/cmd-status.cc
@@ -70,9 +70,8 @@
 
 std::vector<ProcessStatus> waitStatuses(const Settings &settings, TimePoint end)
 {
-    const auto addresses = settings.addresses("operator", "admin");
     while (true) {
-        auto processes = readStatuses(addresses, statusTimeout);
+        auto processes = readStatuses(settings, statusTimeout);
         const bool complete = countAnswers(processes) == processes.size();
         if (complete || std::chrono::steady_clock::now() >= end) {
             return processes;
--- a/src/cmd-table.cc
+++ b/src/cmd-table.cc
@@ -9,12 +9,15 @@
 #include <fmt/format.h>
 
 #include "oriolelever/flags.h"
+#include "oriolelever/levels.h"
 #include "oriolelever/operator.h"
 
 namespace oriolelever {
 
 namespace {
 
+constexpr std::chrono::milliseconds statusTimeout{2000};
+
 struct RecordedChange
 {
     RowKey row;
@@ -49,7 +52,13 @@
     if (!rows) {
         return reportError(rows.error());
     }
-    fmt::print("{}", render(format, rows.value(), {}));
+    std::vector<nlohmann::json> statuses;
+    for (auto &process : readStatuses(session.settings(), statusTimeout)) {
+        statuses.push_back(std::move(process.status));
+    }
+    const auto now
+        = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    fmt::print("{}", render(format, rows.value(), measureRows(statuses, now)));
     if (format == "text") {
         fmt::print("rows: {}\n", rows.value().size());
     }
--- a/src/main.cc
+++ b/src/main.cc
@@ -10,8 +10,10 @@
         oriolelever::codesCommand(),
         oriolelever::drainCommand(),
         oriolelever::setCommand(),
+        oriolelever::settingsCommand(),
         oriolelever::statusCommand(),
         oriolelever::tableCommand(),
+        oriolelever::tokenCommand(),
         oriolelever::undrainCommand(),
         oriolelever::zoneCommand(),
     });
--- a/src/operator.cc
+++ b/src/operator.cc
@@ -22,12 +22,6 @@
 constexpr long maxConnections = 64;
 constexpr std::size_t maxFetchedBytes = 64UL << 20;
 
-struct Fetch
-{
-    Fetched *out = nullptr;
-    CURL *easy = nullptr;
-};
-
 std::size_t appendFetched(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &body = static_cast<Fetched *>(user)->body;
@@ -38,7 +32,8 @@
     return size * count;
 }
 
-CURL *startFetch(Fetched &out, const std::string &path, std::chrono::milliseconds timeout)
+CURL *startFetch(Fetched &out, const std::string &path, const curl_slist *headers,
+                 std::chrono::milliseconds timeout)
 {
     auto *const easy = curl_easy_init();
     curl_easy_setopt(easy, CURLOPT_URL, fmt::format("http://{}{}", toString(out.from), path).c_str());
@@ -48,6 +43,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, appendFetched);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &out);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &out);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
     return easy;
 }
 
@@ -109,14 +105,18 @@
 } // namespace
 
 std::vector<Fetched> fetchAll(const std::vector<Endpoint> &addresses, const std::string &path,
-                              std::chrono::milliseconds timeout)
+                              const std::string &token, std::chrono::milliseconds timeout)
 {
+    curl_slist *headers = nullptr;
+    if (!token.empty()) {
+        headers = curl_slist_append(nullptr, ("Authorization: Bearer " + token).c_str());
+    }
     std::vector<Fetched> fetched(addresses.size());
     auto *const multi = curl_multi_init();
     curl_multi_setopt(multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, maxConnections);
     for (std::size_t i = 0; i < addresses.size(); ++i) {
         fetched[i].from = addresses[i];
-        curl_multi_add_handle(multi, startFetch(fetched[i], path, timeout));
+        curl_multi_add_handle(multi, startFetch(fetched[i], path, headers, timeout));
     }
     int running = 1;
     while (running > 0) {
@@ -128,14 +128,15 @@
     }
     finishFetches(multi);
     curl_multi_cleanup(multi);
+    curl_slist_free_all(headers);
     return fetched;
 }
 
-std::vector<ProcessStatus> readStatuses(const std::vector<Endpoint> &addresses,
-                                        std::chrono::milliseconds timeout)
+std::vector<ProcessStatus> readStatuses(const Settings &settings, std::chrono::milliseconds timeout)
 {
     std::vector<ProcessStatus> statuses;
-    for (auto &fetched : fetchAll(addresses, "/status", timeout)) {
+    for (auto &fetched : fetchAll(settings.addresses("operator", "admin"), "/status",
+                                  settings.text("operator", "token"), timeout)) {
         ProcessStatus status{.admin = fetched.from};
         status.status = nlohmann::json::parse(fetched.body, nullptr, false);
         status.answered = fetched.status == 200 && status.status.is_object();
@@ -210,12 +211,13 @@
 InForce Operator::waitInForce(const RowKey &key, std::uint64_t version, TimePoint end, std::uint64_t least)
 {
     auto addresses = m_settings.addresses("operator", "admin");
+    const auto &token = m_settings.text("operator", "token");
     const auto path
         = fmt::format("/in-force?kind={}&name={}&version={}", toString(key.kind), key.name, version);
     InForce inForce;
     auto interval = shortestAskInterval;
     while (true) {
-        inForce = judgeInForce(fetchAll(addresses, path, askTimeout));
+        inForce = judgeInForce(fetchAll(addresses, path, token, askTimeout));
         if (isComplete(inForce, least) || std::chrono::steady_clock::now() >= end) {
             return inForce;
         }
@@ -230,8 +232,8 @@
 
 bool Operator::mayExist(const std::string &node) const
 {
-    const auto answers
-        = fetchAll(m_settings.addresses("operator", "admin"), "/node?name=" + node, askTimeout);
+    const auto answers = fetchAll(m_settings.addresses("operator", "admin"), "/node?name=" + node,
+                                  m_settings.text("operator", "token"), askTimeout);
     bool denied = false;
     for (const auto &answer : answers) {
         if (answer.status == 200) {
--- a/src/records-status.cc
+++ b/src/records-status.cc
@@ -110,31 +110,38 @@
 {
     admin.addStatus("process", [&records] {
         const auto &options = records.options();
-        return Json{{"name", options.name}, {"role", roleName(options.role)}, {"zone", options.zone}};
+        return Json{{"name", options.name},
+                    {"role", roleName(options.role)},
+                    {"zone", options.zone},
+                    {"service", options.service}};
     });
     admin.addStatus("records", [&records] { return recordsStatus(records.view()); });
-    admin.addQuery("/node", [&records](const Admin::Query &query, const Admin::Reply &reply) {
-        const auto node = nodeStatus(records.view(), parameter(query, "name"));
-        reply(node.is_null() ? statusNotFound : statusOk, node);
-    });
-    admin.addQuery("/in-force", [&records](const Admin::Query &query, const Admin::Reply &reply) {
-        RecordKey key;
-        RecordVersion version;
-        if (!parseForceQuery(query, key, version)) {
-            reply(statusBadRequest, Json{{"error", "needed: kind, name and version of a row"}});
-            return;
-        }
-        // Only balancers ask the others; an agent knows of itself alone.
-        if (records.options().role != NodeRole::Balancer) {
-            reply(statusNotFound, Json{{"error", "ask a balancer"}});
-            return;
-        }
-        records.inForce(key, version, [reply](const ForceReport &report) {
-            reply(
-                statusOk,
-                Json{{"confirmed", report.confirmed}, {"asked", report.asked}, {"missing", report.missing}});
+    admin.addQuery("/node", OperatorRole::Viewer,
+                   [&records](const Admin::Query &query, const Admin::Reply &reply) {
+                       const auto node = nodeStatus(records.view(), parameter(query, "name"));
+                       reply(node.is_null() ? statusNotFound : statusOk, node);
+                   });
+    admin.addQuery(
+        "/in-force", OperatorRole::Operator,
+        [&records](const Admin::Query &query, const Admin::Reply &reply) {
+            RecordKey key;
+            RecordVersion version;
+            if (!parseForceQuery(query, key, version)) {
+                reply(statusBadRequest, Json{{"error", "needed: kind, name and version of a row"}});
+                return;
+            }
+            // Only balancers ask the others; an agent knows of itself alone.
+            if (records.options().role != NodeRole::Balancer) {
+                reply(statusNotFound, Json{{"error", "ask a balancer"}});
+                return;
+            }
+            records.inForce(key, version, [reply](const ForceReport &report) {
+                reply(statusOk,
+                      Json{{"confirmed", report.confirmed},
+                           {"asked", report.asked},
+                           {"missing", report.missing}});
+            });
         });
-    });
 }
 
 } // namespace oriolelever
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -29,6 +29,14 @@
         {"process", "zone", SettingType::Name, true, "", 0, 0, "availability zone of the host"}, \
         {"process", "log", SettingType::Level, false, "info", 0, 0, "smallest level that is logged"}, \
         {"process", "admin", SettingType::Address, true, "", 0, 0, "metrics, health and status over HTTP"}, \
+        {"process", \
+         "admin_tokens", \
+         SettingType::Text, \
+         false, \
+         "", \
+         0, \
+         0, \
+         "NAME:ROLE:HASH of operators who may ask, separated by commas; empty lets all"}, \
         {"process", "drain_ms", SettingType::Time, false, "30000", 0, 3'600'000, "longest graceful shutdown"}, \
         {"process", "record", SettingType::Text, false, "", 0, 0, "file that a trace is recorded to"}, \
         {"control", "listen", SettingType::Address, true, "", 0, 0, "streams of other processes"}, \
@@ -117,6 +125,7 @@
     {"platform", "token", SettingType::Text, false, "", 0, 0, "bearer token of the operator"},
     {"platform", "timeout_ms", SettingType::Time, false, "2000", 10, 60'000, "time limit of one call"},
     {"platform", "calls_per_second", SettingType::Count, false, "100", 1, 10'000, "call budget"},
+    {"operator", "token", SettingType::Text, false, "", 0, 0, "bearer token for the processes"},
     {"operator", "admin", SettingType::AddressList, false, "", 0, 0, "admin addresses to ask for status"},
 });
 
@@ -231,6 +240,29 @@
     return false;
 }
 
+const SettingSpec *findSpec(std::span<const SettingSpec> specs, const SettingLine &line)
+{
+    const auto spec = std::find_if(specs.begin(), specs.end(), [&](const SettingSpec &s) {
+        return s.section == line.section && s.key == line.key;
+    });
+    return spec == specs.end() ? nullptr : &*spec;
+}
+
+std::string knownKeys(std::span<const SettingSpec> specs, const std::string &section)
+{
+    std::string keys;
+    for (const auto &spec : specs) {
+        if (spec.section != section) {
+            continue;
+        }
+        keys += keys.empty() ? "" : ", ";
+        keys += spec.key;
+    }
+    return keys.empty() ? "no such section" : keys;
+}
+
+} // namespace
+
 std::string allowedText(const SettingSpec &spec)
 {
     switch (spec.type) {
@@ -256,29 +288,6 @@
     return {};
 }
 
-const SettingSpec *findSpec(std::span<const SettingSpec> specs, const SettingLine &line)
-{
-    const auto spec = std::find_if(specs.begin(), specs.end(), [&](const SettingSpec &s) {
-        return s.section == line.section && s.key == line.key;
-    });
-    return spec == specs.end() ? nullptr : &*spec;
-}
-
-std::string knownKeys(std::span<const SettingSpec> specs, const std::string &section)
-{
-    std::string keys;
-    for (const auto &spec : specs) {
-        if (spec.section != section) {
-            continue;
-        }
-        keys += keys.empty() ? "" : ", ";
-        keys += spec.key;
-    }
-    return keys.empty() ? "no such section" : keys;
-}
-
-} // namespace
-
 std::string toString(const Problem &problem)
 {
     if (problem.line == 0) {
--- a/test/admin-test.cc
+++ b/test/admin-test.cc
@@ -12,7 +12,7 @@
 {
 protected:
     AdminTest()
-        : m_admin(loopback(0), m_metrics)
+        : m_admin(std::make_unique<Admin>(loopback(0), m_metrics))
     {
     }
 
@@ -38,17 +38,18 @@
     }
 
     // The whole answer to a GET request, with the head.
-    std::string ask(const std::string &path)
+    std::string ask(const std::string &path, const std::string &token = {})
     {
         asio::ip::tcp::socket socket(m_control);
         std::string answer;
         bool ended = false;
-        while (m_admin.port() == 0) {
+        while (m_admin->port() == 0) {
             m_control.run_one();
         }
-        socket.connect({asio::ip::address_v4::loopback(), m_admin.port()});
+        socket.connect({asio::ip::address_v4::loopback(), m_admin->port()});
         asio::write(socket,
-                    asio::buffer("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+                    asio::buffer("GET " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + token
+                                 + "\r\nConnection: close\r\n\r\n"));
         asio::async_read(socket, asio::dynamic_buffer(answer),
                          [&](const asio::error_code &, std::size_t) { ended = true; });
         while (!ended) {
@@ -59,7 +60,7 @@
 
     asio::io_context m_control;
     Metrics m_metrics;
-    Admin m_admin;
+    std::unique_ptr<Admin> m_admin;
     Error m_error;
 };
 
@@ -72,15 +73,33 @@
         .Register(m_metrics.registry())
         .Add({})
         .Increment(3);
-    m_admin.addStatus("members", [] { return nlohmann::json{{"live", 7}}; });
-    ASSERT_TRUE(start(m_admin));
+    m_admin->addStatus("members", [] { return nlohmann::json{{"live", 7}}; });
+    ASSERT_TRUE(start(*m_admin));
     EXPECT_NE(ask("/metrics").find("oriolelever_x_total 3"), std::string::npos);
     EXPECT_NE(ask("/status").find(R"({"members":{"live":7}})"), std::string::npos);
     EXPECT_NE(ask("/health").find("200 OK"), std::string::npos);
-    m_admin.setDraining();
+    m_admin->setDraining();
     EXPECT_NE(ask("/health").find("503"), std::string::npos);
     EXPECT_NE(ask("/other").find("404"), std::string::npos);
-    m_admin.stop();
+    m_admin->stop();
+}
+
+TEST_F(AdminTest, TokenGuardsStatusAndQuestions)
+{
+    m_admin = std::make_unique<Admin>(
+        loopback(0), m_metrics,
+        std::vector<OperatorToken>{{"luca", OperatorRole::Viewer, hashToken("a")},
+                                   {"marta", OperatorRole::Operator, hashToken("b")}});
+    m_admin->addQuery("/echo", OperatorRole::Operator,
+                      [](const Admin::Query &query, const Admin::Reply &reply) { reply(200, query); });
+    ASSERT_TRUE(start(*m_admin));
+    EXPECT_NE(ask("/status").find("401"), std::string::npos);
+    EXPECT_NE(ask("/status", "wrong").find("401"), std::string::npos);
+    EXPECT_NE(ask("/status", "a").find("200 OK"), std::string::npos);
+    EXPECT_NE(ask("/echo?x=1", "a").find("401"), std::string::npos);
+    EXPECT_NE(ask("/echo?x=1", "b").find(R"({"x":"1"})"), std::string::npos);
+    EXPECT_NE(ask("/metrics").find("200 OK"), std::string::npos);
+    m_admin->stop();
 }
 
 TEST_F(AdminTest, PortInUseIsNamed)
--- a/test/burn-test.cc
+++ b/test/burn-test.cc
@@ -179,3 +179,33 @@
     EXPECT_EQ(sum.unanswered, 1U);
     EXPECT_EQ(sum.latency.largest, 7ms);
 }
+
+TEST(MeasuredTest, RowsShowLoadAndLevels)
+{
+    Levels levels("sportello");
+    levels.record(Code::Answered, 5ms);
+    const auto agent = [&](const char *name, unsigned flows) {
+        return nlohmann::json{
+            {"process", {{"name", name}, {"role", "agent"}, {"zone", "bergamo"}, {"service", "sportello"}}},
+            {"traffic", {{"local_flows", flows}, {"flow_limit", 2000U}}}};
+    };
+    std::vector statuses{agent("s1", 30), agent("s2", 10), nlohmann::json()};
+    const auto time
+        = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    statuses[0]["levels"] = levels.status(time);
+    const auto measured = measureRows(statuses, time);
+    const auto cell = [&](const RowKey &key, const std::string &name) {
+        for (const auto &found : measured.at(key)) {
+            if (found.name == name) {
+                return found.value;
+            }
+        }
+        return std::string();
+    };
+    const RowKey service{RowKind::Service, "sportello"};
+    EXPECT_EQ(cell(service, "flows"), "40");
+    EXPECT_EQ(cell(service, "imbalance"), "1.50");
+    EXPECT_EQ(cell(service, "availability 1h"), "1.000000");
+    EXPECT_EQ(cell({RowKind::Server, "s2"}, "flows"), "10");
+    EXPECT_EQ(cell({RowKind::Zone, "bergamo"}, "servers"), "2");
+}
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -68,3 +68,10 @@
     readSettings("absent.ini", settingSpecs("operator"), problems);
     EXPECT_EQ(problems.size(), 1U);
 }
+
+TEST(SettingsTest, DocumentHoldsEverySetting)
+{
+    std::ifstream in(ORIOLELEVER_SOURCE_DIR "/docs/SETTINGS.md");
+    const std::string documented((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    EXPECT_EQ(documented, settingsDocument());
+}
