--- a/src/records.cc
+++ b/src/records.cc
@@ -12,14 +12,14 @@
 
 namespace {
 
-constexpr auto exchangePath = "/records";
-constexpr std::size_t maxSeenLosses = 256;
 constexpr int maxMessagesPerExchange = 64;
 constexpr std::size_t smallFleet = 32; ///< Members up to which exchanges run at the full rate.
-constexpr int largeFleetFactor = 5;
+constexpr int largeFleetFactor = 2;
+constexpr int agentFactor = 5; ///< Agents of a large fleet compare this many times less often.
 constexpr unsigned downPeerShare = 8; ///< One exchange in this many goes to a node that is down.
 constexpr std::chrono::milliseconds lastPushTime{200}; ///< For the last announcement to leave.
-constexpr std::chrono::seconds attachmentLimit{30}; ///< An agent not heard for this long is detached.
+constexpr std::chrono::seconds unreachableTime{10}; ///< Before an agent tries such a balancer again.
+constexpr std::chrono::seconds attachmentLimit{60}; ///< An agent not heard for this long is detached.
 
 const Log &recordsLog()
 {
@@ -69,7 +69,7 @@
     m_platform = m_options.role == NodeRole::Balancer ? platform : nullptr;
     m_pushTimer = std::make_unique<asio::steady_timer>(context);
     m_exchangeTimer = std::make_unique<asio::steady_timer>(context);
-    streams.handle(exchangePath, [this](const std::string &body, const Streams::Reply &reply) {
+    streams.handle(detail::recordsPath, [this](const std::string &body, const Streams::Reply &reply) {
         handleExchange(body, reply);
     });
     streams.handle(detail::forcePath,
@@ -117,7 +117,7 @@
     }
     auto sink = [this, alive = m_alive](const std::vector<Record> &records) {
         if (*alive) {
-            applyAll(records, {});
+            applyAll(records, {.origin = Origin::Platform});
         }
     };
     m_watch = std::make_shared<PlatformWatch>(*m_context, *m_platform, m_options.watchWait, std::move(sink),
@@ -168,17 +168,17 @@
 
 void Records::publishLoss(const ZoneLoss &loss)
 {
-    applyLosses({loss}, {});
+    applyLosses({loss}, {.origin = Origin::Own});
 }
 
-void Records::applyAll(const std::vector<Record> &records, const std::string &from)
+void Records::applyAll(const std::vector<Record> &records, const Source &source)
 {
     for (const auto &record : records) {
-        apply(record, from);
+        apply(record, source);
     }
 }
 
-bool Records::apply(const Record &record, const std::string &from)
+bool Records::apply(const Record &record, const Source &source)
 {
     const bool applied
         = handleError([&] { return m_table.apply(record); },
@@ -186,13 +186,20 @@
                           recordsLog().warn("record {} refused: {}", record.key.name, error.text);
                           return false;
                       });
+    // What came by comparison still has to be passed on when a push asks for it.
+    if (applied || (source.origin == Origin::Push && m_table.version(record.key) == record.version)) {
+        spread(record, source);
+    }
     if (!applied) {
         return false;
     }
     m_changed.push_back(record);
-    m_pending.push_back({record, from});
+    if (!m_attachedAgents.empty()) {
+        m_agentPending.push_back({record, source.from});
+    }
     if (record.key.kind == RecordKind::Node) {
-        refreshMembers();
+        const auto role = view().nodes.at(record.key.name).announcement.role;
+        m_membersChanged = m_membersChanged || role == NodeRole::Balancer;
         noteOwn(record);
     }
     schedulePush();
@@ -232,29 +239,10 @@
     });
 }
 
-void Records::applyLosses(const std::vector<ZoneLoss> &losses, const std::string &from)
-{
-    for (const auto &loss : losses) {
-        if (std::find(m_seenLosses.begin(), m_seenLosses.end(), loss.id) != m_seenLosses.end()) {
-            continue;
-        }
-        m_seenLosses.push_back(loss.id);
-        if (m_seenLosses.size() > maxSeenLosses) {
-            m_seenLosses.pop_front();
-        }
-        recordsLog().warn("zone {} declared lost", loss.zone);
-        m_pendingLosses.emplace_back(loss, from);
-        const auto before = m_pending.size();
-        applyAll(expandLoss(view(), loss), from);
-        // Each neighbour makes these out of the loss itself.
-        m_pending.resize(std::min(before, m_pending.size()));
-        schedulePush();
-    }
-}
-
 void Records::notify()
 {
     m_notifyScheduled = false;
+    refreshMembers();
     const auto changed = std::move(m_changed);
     m_changed.clear();
     for (const auto &subscriber : m_subscribers) {
@@ -264,139 +252,18 @@
 
 void Records::refreshMembers()
 {
-    m_members = liveMembers(view());
-    startWatch();
-}
-
-void Records::schedulePush()
-{
-    if (m_pushScheduled || m_pushTimer == nullptr) {
+    if (!std::exchange(m_membersChanged, false)) {
         return;
     }
-    m_pushScheduled = true;
-    m_pushTimer->expires_after(m_options.pushDelay);
-    m_pushTimer->async_wait([this, alive = m_alive](const asio::error_code &error) {
-        if (!error && *alive) {
-            push();
-        }
-    });
-}
-
-void Records::push()
-{
-    m_pushScheduled = false;
-    const auto pending = std::move(m_pending);
-    m_pending.clear();
-    const auto losses = std::move(m_pendingLosses);
-    m_pendingLosses.clear();
-    if (m_streams == nullptr || (pending.empty() && losses.empty())) {
-        return;
-    }
-    if (m_options.role == NodeRole::Agent) {
-        pushAsAgent(pending);
-        return;
-    }
-    for (const auto &neighbour : neighbours()) {
-        pushChanges(neighbour.name, neighbour.control, pending, losses, {});
-    }
-    for (const auto &[name, endpoint] : m_attachedAgents) {
-        pushChanges(name, endpoint, pending, losses, m_attachedServices[name]);
-    }
-}
-
-void Records::pushAsAgent(const std::vector<Pending> &pending)
-{
-    Exchange message;
-    message.from = m_options.name;
-    message.service = m_options.service;
-    for (const auto &entry : pending) {
-        if (entry.from.empty()) {
-            message.records.push_back(entry.record);
-        }
-    }
-    if (message.records.empty()) {
-        return;
-    }
-    for (const auto &member : m_attachments) {
-        pushTo(member.control, message, 1);
-    }
-    if (m_attachments.empty()) {
-        for (const auto &seed : m_options.seeds) {
-            pushTo(seed, message, 1);
-        }
-    }
-}
-
-// Nothing goes back to where it came from; an agent gets what concerns its service.
-void Records::pushChanges(const std::string &name, const Endpoint &peer, const std::vector<Pending> &pending,
-                          const PendingLosses &losses, const std::string &service)
-{
-    Exchange message;
-    message.from = m_options.name;
-    for (const auto &entry : pending) {
-        const bool concerned = service.empty() || concernsService(view(), entry.record, service);
-        if (concerned && entry.from != name) {
-            message.records.push_back(entry.record);
-        }
-    }
-    for (const auto &[loss, from] : losses) {
-        if (from != name) {
-            message.losses.push_back(loss);
-        }
-    }
-    if (!message.records.empty() || !message.losses.empty()) {
-        pushTo(peer, std::move(message), 1);
-    }
-}
-
-std::vector<Member> Records::neighbours() const
-{
-    std::vector<std::uint64_t> labels;
-    for (const auto &member : m_members) {
-        labels.push_back(member.label);
-    }
-    const auto label = labelOf(m_options.zone, m_options.name);
-    const auto self = std::lower_bound(labels.begin(), labels.end(), label);
-    if (self == labels.end() || *self != label) {
-        // Not yet announced: a few members spread what this process has.
-        const auto count = std::min(m_members.size(), fullMeshLimit);
-        return {m_members.begin(), m_members.begin() + static_cast<std::ptrdiff_t>(count)};
-    }
-    std::vector<Member> result;
-    for (const auto index : hypercubeNeighbours(labels, static_cast<std::size_t>(self - labels.begin()))) {
-        result.push_back(m_members[index]);
-    }
-    return result;
-}
-
-// The answer holds records of which the peer has later versions.
-void Records::pushTo(const Endpoint &peer, Exchange message, std::size_t attempts)
-{
-    auto body = encodeExchange(message);
-    m_streams->call(peer, exchangePath, std::move(body), m_options.callTimeout,
-                    [this, alive = m_alive, peer, message, attempts](Result<std::string> result) {
-                        if (!*alive) {
-                            return;
-                        }
-                        handleError(
-                            [&]() -> Result<void> {
-                                BOOST_LEAF_AUTO(text, std::move(result));
-                                BOOST_LEAF_AUTO(answer, decodeExchange(text));
-                                applyAll(answer.records, answer.from);
-                                return {};
-                            },
-                            [&](const Error &) {
-                                if (attempts > 0) {
-                                    pushTo(peer, message, attempts - 1);
-                                }
-                            });
-                    });
+    m_members = liveMembers(view());
+    startWatch();
 }
 
 void Records::scheduleExchange()
 {
-    const bool large = m_members.size() > smallFleet;
-    const auto interval = m_options.exchangeInterval * (large ? largeFleetFactor : 1);
+    const bool large = std::max(m_members.size(), m_fleetSize) > smallFleet;
+    const auto factor = m_options.role == NodeRole::Agent ? agentFactor : largeFleetFactor;
+    const auto interval = m_options.exchangeInterval * (large ? factor : 1);
     const double spread = std::uniform_real_distribution<double>(0.75, 1.25)(m_random);
     m_exchangeTimer->expires_after(std::chrono::duration_cast<Duration>(interval * spread));
     m_exchangeTimer->async_wait([this, alive = m_alive](const asio::error_code &error) {
@@ -415,9 +282,7 @@
         const auto records = recordsForService(m_table, m_options.service);
         message.root = digestOf(records);
         message.service = m_options.service;
-        if (auto own = m_table.find(RecordKey{RecordKind::Node, m_options.name})) {
-            message.records.push_back(std::move(*own));
-        }
+        message.assigned = m_assigned;
     }
     return message;
 }
@@ -456,7 +321,9 @@
 {
     if (m_options.role == NodeRole::Agent) {
         attach();
-        for (const auto &member : m_attachments) {
+        if (!m_attachments.empty()) {
+            // One at a time: the first rounds reach all, later ones are repairs.
+            const auto &member = m_attachments[m_turn++ % m_attachments.size()];
             exchangeWith(member.control, openScoped(), maxMessagesPerExchange);
         }
         if (m_attachments.empty() && !m_options.seeds.empty()) {
@@ -482,11 +349,13 @@
 // Keeps attachments that are alive and fills the rest by the agent's own spread over the balancers it knows.
 void Records::attach()
 {
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(m_unreachable, [&](const auto &entry) { return now - entry.second > unreachableTime; });
     std::vector<Member> kept;
     for (const auto &attachment : m_attachments) {
         const auto found = std::find_if(m_members.begin(), m_members.end(),
                                         [&](const Member &member) { return member.name == attachment.name; });
-        if (found != m_members.end()) {
+        if (found != m_members.end() && !m_unreachable.contains(found->control)) {
             kept.push_back(*found);
         }
     }
@@ -497,7 +366,8 @@
         const auto &member = m_members[index];
         const bool known = std::any_of(kept.begin(), kept.end(),
                                        [&](const Member &other) { return other.name == member.name; });
-        if (!known) {
+        if (!known && !m_unreachable.contains(member.control)) {
+            meet(member.control);
             kept.push_back(member);
         }
     }
@@ -507,7 +377,7 @@
 void Records::exchangeWith(const Endpoint &peer, Exchange request, int messages)
 {
     request.from = m_options.name;
-    m_streams->call(peer, exchangePath, encodeExchange(request), m_options.callTimeout,
+    m_streams->call(peer, detail::recordsPath, encodeExchange(request), m_options.callTimeout,
                     [this, alive = m_alive, peer, messages](Result<std::string> result) {
                         if (!*alive) {
                             return;
@@ -516,25 +386,56 @@
                             [&]() -> Result<void> {
                                 BOOST_LEAF_AUTO(text, std::move(result));
                                 BOOST_LEAF_AUTO(answer, decodeExchange(text));
-                                const auto before = m_table.root();
-                                applyAll(answer.records, answer.from);
-                                auto next = continueExchange(m_table, answer);
-                                const bool again = !next && answer.stage == ExchangeStage::Records
-                                    && m_table.root() != before;
-                                if (again) {
-                                    next = openExchange(m_table);
-                                }
-                                if (next && messages > 0) {
-                                    exchangeWith(peer, std::move(*next), messages - 1);
-                                }
+                                takeAnswer(peer, answer, messages);
                                 return {};
                             },
                             [&](const Error &error) {
+                                m_unreachable[peer] = std::chrono::steady_clock::now();
                                 recordsLog().debug("exchange with {} failed: {}", toString(peer), error.text);
                             });
                     });
 }
 
+void Records::takeAnswer(const Endpoint &peer, const Exchange &answer, int messages)
+{
+    const auto before = m_table.root();
+    applyAll(answer.records, {.origin = Origin::Repair, .from = answer.from});
+    if (m_options.role == NodeRole::Agent) {
+        m_fleetSize = answer.members;
+        m_assigned = answer.assigned;
+        answerWithOwn(peer, answer);
+        return;
+    }
+    auto next = continueExchange(m_table, answer);
+    const bool again = !next && answer.stage == ExchangeStage::Records && m_table.root() != before;
+    if (again) {
+        next = openExchange(m_table);
+    }
+    if (next && messages > 0) {
+        exchangeWith(peer, std::move(*next), messages - 1);
+    }
+}
+
+// A member that differs has sent all that concerns this agent: it lacks what is not among that.
+void Records::answerWithOwn(const Endpoint &peer, const Exchange &answer)
+{
+    const auto own = m_table.find(RecordKey{RecordKind::Node, m_options.name});
+    if (!own || answer.root == digestOf(recordsForService(m_table, m_options.service))) {
+        return;
+    }
+    const bool known = std::any_of(answer.records.begin(), answer.records.end(), [&](const Record &record) {
+        return record.key == own->key && record.version >= own->version;
+    });
+    if (known) {
+        return;
+    }
+    Exchange message;
+    message.from = m_options.name;
+    message.service = m_options.service;
+    message.records.push_back(*own);
+    pushTo({peer}, message);
+}
+
 void Records::handleExchange(const std::string &body, const Streams::Reply &reply)
 {
     handleError(
@@ -548,8 +449,10 @@
 
 Exchange Records::answer(const Exchange &request)
 {
-    applyAll(request.records, request.from);
-    applyLosses(request.losses, request.from);
+    const auto origin = request.stage == ExchangeStage::Push ? Origin::Push : Origin::Repair;
+    const Source source{.origin = origin, .from = request.from, .depth = request.depth};
+    applyAll(request.records, source);
+    applyLosses(request.losses, source);
     if (!request.service.empty() && m_options.role == NodeRole::Balancer) {
         return answerAgent(request);
     }
@@ -567,23 +470,32 @@
 // An agent's table is small: when it differs, the answer holds all that concerns it.
 Exchange Records::answerAgent(const Exchange &request)
 {
-    Exchange answer{.stage = request.stage, .from = m_options.name};
+    refreshMembers();
+    Exchange answer;
+    answer.stage = request.stage;
+    answer.from = m_options.name;
+    answer.members = m_members.size();
     const auto node = view().nodes.find(request.from);
     if (node != view().nodes.end()) {
         m_attachedAgents[request.from] = node->second.announcement.control;
         m_attachedServices[request.from] = request.service;
         m_attachedHeard[request.from] = std::chrono::steady_clock::now();
     }
+    if (request.stage != ExchangeStage::Root) {
+        return answer;
+    }
     const auto records = recordsForService(m_table, request.service);
-    if (request.stage == ExchangeStage::Root && request.root != digestOf(records)) {
+    answer.root = digestOf(records);
+    if (request.root != answer.root) {
         answer.records = records;
     }
-    if (request.stage == ExchangeStage::Root) {
-        for (const auto index : assignedMembers(m_members.size(), request.from, m_options.attachments)) {
-            if (auto record = m_table.find(RecordKey{RecordKind::Node, m_members[index].name})) {
-                answer.records.push_back(std::move(*record));
-            }
-        }
+    std::vector<Record> assigned;
+    for (const auto index : assignedMembers(m_members.size(), request.from, m_options.attachments)) {
+        assigned.push_back(*m_table.find(RecordKey{RecordKind::Node, m_members[index].name}));
+    }
+    answer.assigned = digestOf(assigned);
+    if (request.assigned != answer.assigned) {
+        answer.records.insert(answer.records.end(), assigned.begin(), assigned.end());
     }
     return answer;
 }
