Agents keep service levels; operators' tokens guard the admin endpoint

Cause: burn and access were there but no daemon used them. Change: the agent gets the service "levels", both daemons read process.admin_tokens. Conclusion: a wrong entry of a token stops the start with the entry's text.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "oriolelever/admin.h"
 #include "oriolelever/cli.h"
+#include "oriolelever/levels.h"
 #include "oriolelever/log.h"
 #include "oriolelever/members.h"
 #include "oriolelever/metrics.h"
@@ -93,7 +94,8 @@
     BOOST_LEAF_AUTO(members, membersOptions(settings));
     const auto incarnation = incarnationAt(std::chrono::system_clock::now());
     auto metrics = std::make_unique<Metrics>();
-    auto admin = std::make_unique<Admin>(settings.address("process", "admin"), *metrics);
+    BOOST_LEAF_AUTO(tokens, parseOperatorTokens(settings.text("process", "admin_tokens")));
+    auto admin = std::make_unique<Admin>(settings.address("process", "admin"), *metrics, tokens);
     kernel.add("metrics", std::move(metrics));
     kernel.add("admin", std::move(admin));
     kernel.add("platform", std::make_unique<PlatformClient>(platformOptions(settings)));
@@ -107,6 +109,7 @@
         return {};
     }
     kernel.add("traffic", std::make_unique<AgentTraffic>(settings, incarnation));
+    kernel.add("levels", std::make_unique<Levels>(settings.text("server", "service")));
     kernel.add("requests", makeRequests(settings, incarnation));
     return {};
 }
