--- a/lab/http-server.cc
+++ b/lab/http-server.cc
@@ -283,7 +283,7 @@
     session->running = true;
     const bool idempotent = session->parser.method != HTTP_POST && session->parser.method != HTTP_PATCH;
     const auto key = headerOr(session->headers, "Idempotency-Key", "none");
-    const auto runs = ledger->note(key);
+    const auto runs = idempotent ? 0 : ledger->note(key);
     const bool cold = isCold();
     {
         const std::lock_guard lock(figuresMutex);
--- a/lab/http-server.h
+++ b/lab/http-server.h
@@ -52,7 +52,7 @@
 /// Runs that several servers share, so that a second run at another server shows.
 class RunLedger;
 std::shared_ptr<RunLedger> makeRunLedger();
-/// True if the ledger knows a run of the request.
+/// True if the ledger knows a run of the non-idempotent request.
 bool hasRun(const RunLedger &ledger, const std::string &key);
 /// Number of runs of each non-idempotent request.
 std::map<std::string, std::uint32_t> runsOf(const RunLedger &ledger);
