Forged datagrams go to the address that the process listens at

Cause: the test sent them to 127.0.0.1, where the process no longer listens. Change: it takes the listener's address. Conclusion: same check, right target.

--- a/test/members-test.cc
+++ b/test/members-test.cc
@@ -200,7 +200,7 @@
     TagKeys wrong;
     wrong.current = TagKey{9};
     const auto bytes = encodePing({.type = PingType::Ping, .from = "b2", .to = "b1", .nonce = 1}, wrong);
-    const auto port = m_processes[0]->streams.listenEndpoint().port;
-    socket.send_to(asio::buffer(bytes), {asio::ip::address_v4::loopback(), port});
+    const auto target = m_processes[0]->streams.listenEndpoint();
+    socket.send_to(asio::buffer(bytes), {asio::ip::make_address(toString(target.address)), target.port});
     EXPECT_TRUE(runUntil([&] { return m_processes[0]->members->totals().refused > 0; }));
 }
