Comparisons run over open connections; the lab measures connections, ticks and scans

A comparison with a random member opened a connection, with TLS, every 2 s. Seven of eight now go to a neighbour in the hypercube. The lab command control also measures the heap of a connection, a tick of the failure detector and the scans over all nodes, which docs/CAPACITY.md needs.

--- a/lab/cmd-control.cc
+++ b/lab/cmd-control.cc
@@ -20,6 +20,7 @@
 constexpr std::size_t maxNodes = 20'000;
 constexpr std::size_t maxServers = 200'000;
 constexpr std::size_t measuredCalls = 5000;
+constexpr std::size_t measuredConnections = 50;
 constexpr std::size_t mostFailed = 5;
 
 // "100,1000"; false for anything else or a number outside of [min, max].
@@ -67,6 +68,10 @@
     print(size, "push bytes a change", figures.pushBytes);
     print(size, "processor us a change", figures.pushProcessor);
     print(size, "processor us to apply", figures.applyProcessor);
+    print(size, "processor us a tick", figures.tickProcessor);
+    print(size, "processor us to adopt agents", figures.adoptProcessor);
+    print(size, "processor us to derive members", figures.membersProcessor);
+    print(size, "members bytes", figures.membersBytes);
     print(size, "in force ms", figures.inForce);
     print(size, "exchange bytes", figures.exchangeBytes);
     print(size, "exchange messages", figures.exchangeMessages);
@@ -104,6 +109,10 @@
 
 constexpr auto slopes = std::to_array<Slope>({
     {"state bytes a record", byRecords, &ControlFigures::stateBytes},
+    {"members bytes a node", byNodes, &ControlFigures::membersBytes},
+    {"processor us to adopt agents a record", byRecords, &ControlFigures::adoptProcessor},
+    {"processor us to derive members a record", byRecords, &ControlFigures::membersProcessor},
+    {"processor us a tick an attached agent", byAttached, &ControlFigures::tickProcessor},
     {"heartbeat bytes a second an attached agent", byAttached, &ControlFigures::heartbeatBytes},
     {"push messages a change a doubling of nodes", byDoubling, &ControlFigures::pushMessages},
     {"push bytes a change a doubling of nodes", byDoubling, &ControlFigures::pushBytes},
@@ -131,6 +140,7 @@
     fmt::print("call bytes: {:.6g}\n", call.bytes);
     fmt::print("call processor us: {:.6g}\n", call.processor);
     fmt::print("datagram processor us: {:.6g}\n", measureDatagram(measuredCalls));
+    fmt::print("connection bytes: {:.6g}\n", measureConnection(measuredConnections));
     std::vector<std::pair<ControlOptions, ControlFigures>> results;
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         const ControlOptions options{.nodes = nodes[i],
--- a/lab/control.cc
+++ b/lab/control.cc
@@ -111,6 +111,47 @@
     }
 }
 
+// What a balancer does at every tick of the failure detector, and what it does over all nodes now and then.
+void measureDetector(const ControlOptions &options, const ClusterView &view, ControlFigures &figures)
+{
+    constexpr int ticks = 200;
+    const auto heapBefore = heapBytes();
+    auto start = processorMicroseconds();
+    const auto members = liveMembers(view);
+    figures.membersProcessor = processorMicroseconds() - start;
+    figures.membersBytes = static_cast<double>(heapBytes() - heapBefore);
+
+    start = processorMicroseconds();
+    std::vector<Target> agents;
+    for (const auto &[name, entry] : view.nodes) {
+        if (entry.announcement.role == NodeRole::Agent
+            && assignedMembers(members.size(), name, 1).front() == 0) {
+            agents.push_back({name, entry.announcement.control});
+        }
+    }
+    figures.adoptProcessor = processorMicroseconds() - start;
+
+    const auto attached = static_cast<std::size_t>(3 * options.servers / options.nodes);
+    for (std::size_t i = agents.size(); i < attached; ++i) {
+        agents.push_back({"server-host-" + std::to_string(i), loopback()});
+    }
+    Monitor monitor;
+    std::minstd_rand random(options.seed);
+    const auto &self = members.front();
+    const auto &zone = view.nodes.at(self.name).announcement.zone;
+    TimePoint now{std::chrono::hours(1)};
+    start = processorMicroseconds();
+    for (int i = 0; i < ticks; ++i) {
+        now += std::chrono::milliseconds(100);
+        const auto helpers = successorsOf(members, zone, self.name, 8);
+        setTargets(monitor, successorsOf(members, zone, self.name, 3), agents, now);
+        for (const auto &target : tick(monitor, helpers, now, random).pings) {
+            noteAlive(monitor, target.name, now);
+        }
+    }
+    figures.tickProcessor = (processorMicroseconds() - start) / ticks;
+}
+
 void measureState(const ControlOptions &options, ControlFigures &figures)
 {
     malloc_trim(0);
@@ -127,6 +168,8 @@
     }
     figures.agentStateBytes = static_cast<double>(heapBytes() - beforeAgent);
 
+    measureDetector(options, table.view(), figures);
+
     RecordTable other;
     fill(other, options);
     figures.equalExchangeBytes
@@ -197,6 +240,29 @@
     return {.bytes = static_cast<double>(moved) / count + tcpBytes, .processor = processor / count / 2};
 }
 
+double measureConnection(std::size_t connections)
+{
+    asio::io_context context;
+    const StreamsOptions options{.listen = loopback(), .tls = {.plain = true}};
+    Streams server(context, options);
+    if (!server.open()) {
+        return 0;
+    }
+    server.handle("/records", [](std::string, const Streams::Reply &reply) { reply(std::string()); });
+    const auto before = heapBytes();
+    std::vector<std::unique_ptr<Streams>> clients;
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < connections; ++i) {
+        clients.push_back(std::make_unique<Streams>(context, options));
+        clients.back()->call(server.listenEndpoint(), "/records", {}, std::chrono::seconds(10),
+                             [&](const Result<std::string> &) { ++answered; });
+    }
+    while (answered < connections) {
+        context.run_one();
+    }
+    return static_cast<double>(heapBytes() - before) / static_cast<double>(2 * connections);
+}
+
 double measureDatagram(std::size_t datagrams)
 {
     using Udp = asio::ip::udp;
--- a/lab/control.h
+++ b/lab/control.h
@@ -17,6 +17,8 @@
 };
 
 CallCost measureCall(std::size_t calls);
+/// Heap bytes of one end of an open connection without TLS.
+double measureConnection(std::size_t connections);
 /// Microseconds to encode, send, receive and decode one datagram.
 double measureDatagram(std::size_t datagrams);
 
@@ -43,6 +45,10 @@
     double busiestPushMessages = 0; ///< Sent and received by the busiest node for one change.
     double inForce = 0; ///< Milliseconds from the change to the last node.
     double applyProcessor = 0; ///< Microseconds to put one record into a full table.
+    double tickProcessor = 0; ///< Microseconds of one tick of the failure detector.
+    double adoptProcessor = 0; ///< Microseconds to find the agents that a balancer is responsible for.
+    double membersProcessor = 0; ///< Microseconds to derive the live members from the view.
+    double membersBytes = 0; ///< Heap of the list of live members.
     double exchangeBytes = 0; ///< Of one comparison of full tables with one difference, bodies.
     double exchangeMessages = 0;
     double equalExchangeBytes = 0;
--- a/lab/spread.cc
+++ b/lab/spread.cc
@@ -18,6 +18,8 @@
     return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
 }
 
+constexpr unsigned anyPeerShare = 8; // As in the daemons.
+
 using Bytes = std::shared_ptr<const std::string>;
 
 struct Event
@@ -160,11 +162,15 @@
     }
 }
 
-// Every node compares with a random one; the change goes either way.
+// Every node compares with a neighbour, sometimes with anyone; the change goes either way.
 void Spread::repair(Duration at)
 {
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-        const auto other = m_random() % m_nodes.size();
+        auto other = m_random() % m_nodes.size();
+        if (m_random() % anyPeerShare != 0) {
+            const auto edges = hypercubeEdges(m_labels, m_labels[i]);
+            other = edges[m_random() % edges.size()].nearest;
+        }
         if (m_nodes[i].failed || m_nodes[other].failed || m_nodes[i].has == m_nodes[other].has) {
             continue;
         }
--- a/src/records.cc
+++ b/src/records.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t smallFleet = 32; ///< Members up to which exchanges run at the full rate.
 constexpr int largeFleetFactor = 2;
 constexpr int agentFactor = 5; ///< Agents of a large fleet compare this many times less often.
+constexpr unsigned anyPeerShare = 8; ///< One exchange in this many goes to a member that is no neighbour.
 constexpr unsigned downPeerShare = 8; ///< One exchange in this many goes to a node that is down.
 constexpr std::chrono::milliseconds lastPushTime{200}; ///< For the last announcement to leave.
 constexpr std::chrono::seconds unreachableTime{10}; ///< Before an agent tries such a balancer again.
@@ -308,6 +309,15 @@
             return down[m_random() % down.size()];
         }
     }
+    // Mostly neighbours, whose connections are open already; sometimes anyone.
+    if (candidates.size() > fullMeshLimit && m_random() % anyPeerShare != 0) {
+        std::vector<std::uint64_t> labels;
+        for (const auto &member : m_members) {
+            labels.push_back(member.label);
+        }
+        const auto edges = hypercubeEdges(labels, labelOf(m_options.zone, m_options.name));
+        return m_members[edges[m_random() % edges.size()].nearest].control;
+    }
     if (candidates.empty()) {
         candidates = m_options.seeds;
     }
