--- a/include/oriolelever/dissem.h
+++ b/include/oriolelever/dissem.h
@@ -206,6 +206,9 @@
 /// Live balancers of `view`, ascending by label.
 std::vector<Member> liveMembers(const ClusterView &view);
 
+/// Brings the entry of the balancer `name` in `members` up to date.
+void updateMember(std::vector<Member> &members, const ClusterView &view, const std::string &name);
+
 /// The members that an agent attaches to: `count` at most, spread evenly over `members` by the agent's name.
 std::vector<std::size_t> assignedMembers(std::size_t members, const std::string &agent, std::size_t count);
 
--- a/include/oriolelever/records.h
+++ b/include/oriolelever/records.h
@@ -221,7 +221,7 @@
     std::size_t m_fleetSize = 0; ///< Members, as an agent was told.
     std::uint64_t m_assigned = 0; ///< Digest of the balancers that this agent was told to attach to.
     std::size_t m_turn = 0; ///< Attachment that is compared with next.
-    bool m_membersChanged = false;
+    std::vector<std::string> m_changedMembers; ///< Balancers whose entry in `m_members` is out of date.
     std::optional<Announcement> m_own;
     bool m_pushScheduled = false;
     bool m_notifyScheduled = false;
--- a/lab/cmd-control.cc
+++ b/lab/cmd-control.cc
@@ -70,7 +70,7 @@
     print(size, "processor us to apply", figures.applyProcessor);
     print(size, "processor us a tick", figures.tickProcessor);
     print(size, "processor us to adopt agents", figures.adoptProcessor);
-    print(size, "processor us to derive members", figures.membersProcessor);
+    print(size, "processor us to update a member", figures.membersProcessor);
     print(size, "members bytes", figures.membersBytes);
     print(size, "in force ms", figures.inForce);
     print(size, "exchange bytes", figures.exchangeBytes);
@@ -111,7 +111,7 @@
     {"state bytes a record", byRecords, &ControlFigures::stateBytes},
     {"members bytes a node", byNodes, &ControlFigures::membersBytes},
     {"processor us to adopt agents a record", byRecords, &ControlFigures::adoptProcessor},
-    {"processor us to derive members a record", byRecords, &ControlFigures::membersProcessor},
+    {"processor us to update a member a node", byNodes, &ControlFigures::membersProcessor},
     {"processor us a tick an attached agent", byAttached, &ControlFigures::tickProcessor},
     {"heartbeat bytes a second an attached agent", byAttached, &ControlFigures::heartbeatBytes},
     {"push messages a change a doubling of nodes", byDoubling, &ControlFigures::pushMessages},
--- a/lab/control.cc
+++ b/lab/control.cc
@@ -116,11 +116,15 @@
 {
     constexpr int ticks = 200;
     const auto heapBefore = heapBytes();
-    auto start = processorMicroseconds();
-    const auto members = liveMembers(view);
-    figures.membersProcessor = processorMicroseconds() - start;
+    auto members = liveMembers(view);
     figures.membersBytes = static_cast<double>(heapBytes() - heapBefore);
 
+    auto start = processorMicroseconds();
+    for (int i = 0; i < ticks; ++i) {
+        updateMember(members, view, members[static_cast<std::size_t>(i) % members.size()].name);
+    }
+    figures.membersProcessor = (processorMicroseconds() - start) / ticks;
+
     start = processorMicroseconds();
     std::vector<Target> agents;
     for (const auto &[name, entry] : view.nodes) {
--- a/lab/control.h
+++ b/lab/control.h
@@ -47,7 +47,7 @@
     double applyProcessor = 0; ///< Microseconds to put one record into a full table.
     double tickProcessor = 0; ///< Microseconds of one tick of the failure detector.
     double adoptProcessor = 0; ///< Microseconds to find the agents that a balancer is responsible for.
-    double membersProcessor = 0; ///< Microseconds to derive the live members from the view.
+    double membersProcessor = 0; ///< Microseconds to bring one live member up to date.
     double membersBytes = 0; ///< Heap of the list of live members.
     double exchangeBytes = 0; ///< Of one comparison of full tables with one difference, bodies.
     double exchangeMessages = 0;
--- a/src/dissem.cc
+++ b/src/dissem.cc
@@ -68,6 +68,17 @@
     return nullptr;
 }
 
+bool isLiveMember(const Announcement &announcement)
+{
+    return announcement.role == NodeRole::Balancer && announcement.state != NodeState::Down;
+}
+
+Member memberOf(const Announcement &announcement)
+{
+    return {labelOf(announcement.zone, announcement.name), announcement.name, announcement.control,
+            announcement.incarnation};
+}
+
 } // namespace
 
 std::uint64_t hashKey(const RecordKey &key)
@@ -337,17 +348,25 @@
 {
     std::vector<Member> members;
     for (const auto &[name, entry] : view.nodes) {
-        const auto &announcement = entry.announcement;
-        if (announcement.role != NodeRole::Balancer || announcement.state == NodeState::Down) {
-            continue;
+        if (isLiveMember(entry.announcement)) {
+            members.push_back(memberOf(entry.announcement));
         }
-        members.push_back(
-            {labelOf(announcement.zone, name), name, announcement.control, announcement.incarnation});
     }
     std::sort(members.begin(), members.end());
     return members;
 }
 
+void updateMember(std::vector<Member> &members, const ClusterView &view, const std::string &name)
+{
+    std::erase_if(members, [&](const Member &member) { return member.name == name; });
+    const auto entry = view.nodes.find(name);
+    if (entry == view.nodes.end() || !isLiveMember(entry->second.announcement)) {
+        return;
+    }
+    auto member = memberOf(entry->second.announcement);
+    members.insert(std::lower_bound(members.begin(), members.end(), member), std::move(member));
+}
+
 std::vector<std::size_t> assignedMembers(std::size_t members, const std::string &agent, std::size_t count)
 {
     std::vector<std::size_t> assigned;
--- a/src/members.cc
+++ b/src/members.cc
@@ -15,7 +15,7 @@
 
 constexpr int ticksPerHeartbeat = 5;
 constexpr std::chrono::seconds questionLimit{5};
-constexpr std::chrono::seconds adoptInterval{5};
+constexpr std::chrono::seconds adoptInterval{20};
 constexpr std::chrono::seconds joinDelay{3}; ///< Before a process without peers reads the groups.
 constexpr std::size_t helperChoices = 16;
 constexpr std::size_t fewMembers = 4; ///< Below this many, agents help too.
--- a/src/records.cc
+++ b/src/records.cc
@@ -200,7 +200,9 @@
     }
     if (record.key.kind == RecordKind::Node) {
         const auto role = view().nodes.at(record.key.name).announcement.role;
-        m_membersChanged = m_membersChanged || role == NodeRole::Balancer;
+        if (role == NodeRole::Balancer) {
+            m_changedMembers.push_back(record.key.name);
+        }
         noteOwn(record);
     }
     schedulePush();
@@ -253,10 +255,12 @@
 
 void Records::refreshMembers()
 {
-    if (!std::exchange(m_membersChanged, false)) {
+    if (m_changedMembers.empty()) {
         return;
     }
-    m_members = liveMembers(view());
+    for (const auto &name : std::exchange(m_changedMembers, {})) {
+        updateMember(m_members, view(), name);
+    }
     startWatch();
 }
 
--- a/test/dissem-test.cc
+++ b/test/dissem-test.cc
@@ -190,6 +190,24 @@
     EXPECT_TRUE(expandLoss(table.view(), {.id = 1, .zone = "ost-a", .alive = {"n4"}}).empty());
 }
 
+TEST(DissemTest, MemberByMemberIsTheSameAsAllAtOnce)
+{
+    std::mt19937 random(3);
+    RecordTable table;
+    std::vector<Member> members;
+    for (std::uint64_t i = 0; i < 400; ++i) {
+        const Announcement announcement{.name = nameOf(random() % 60),
+                                        .role = random() % 4 == 0 ? NodeRole::Agent : NodeRole::Balancer,
+                                        .zone = random() % 2 == 0 ? "ost-a" : "ost-b",
+                                        .incarnation = i,
+                                        .state = random() % 3 == 0 ? NodeState::Down : NodeState::Ready};
+        applied(table, nodeRecord(announcement, {i, 2}));
+        updateMember(members, table.view(), announcement.name);
+        ASSERT_EQ(members, liveMembers(table.view()));
+    }
+    EXPECT_GT(members.size(), 10U);
+}
+
 TEST(DissemTest, AgentGetsWhatConcernsItsServiceOnly)
 {
     RecordTable table;
--- a/test/members-test.cc
+++ b/test/members-test.cc
@@ -1,5 +1,7 @@
 #include "oriolelever/members.h"
 
+#include <asio/ip/tcp.hpp>
+
 #include <algorithm>
 
 #include <gtest/gtest.h>
@@ -20,11 +22,27 @@
     return endpoint;
 }
 
+// A port that is free for TCP and for UDP; ephemeral ports of the two are given out separately.
+Endpoint freePort(asio::io_context &context)
+{
+    auto endpoint = loopback();
+    while (true) {
+        const asio::ip::tcp::acceptor tcp(context, {asio::ip::address_v4::loopback(), 0});
+        endpoint.port = tcp.local_endpoint().port();
+        asio::ip::udp::socket udp(context, asio::ip::udp::v4());
+        asio::error_code error;
+        udp.bind({asio::ip::address_v4::loopback(), endpoint.port}, error);
+        if (!error) {
+            return endpoint;
+        }
+    }
+}
+
 struct Process
 {
     Process(asio::io_context &context, ObjectApi &platform, const std::string &name, NodeRole role,
             const std::string &zone, const std::vector<Endpoint> &seeds)
-        : streams(context, {.listen = loopback(), .tls = {.plain = true}})
+        : streams(context, {.listen = freePort(context), .tls = {.plain = true}})
         , records({.name = name,
                    .role = role,
                    .zone = zone,
