--- a/lab/commands.h
+++ b/lab/commands.h
@@ -27,4 +27,7 @@
 /// Compares ways to learn that a version is in force everywhere.
 Command stabilityCommand();
 
+/// Runs callers, agents and faulty backend servers in virtual time.
+Command requestsCommand();
+
 } // namespace oriolelever::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -13,6 +13,7 @@
         oriolelever::lab::traceCommand(),
         oriolelever::lab::replayCommand(),
         oriolelever::lab::sweepCommand(),
+        oriolelever::lab::requestsCommand(),
         oriolelever::lab::controlCommand(),
         oriolelever::lab::stabilityCommand(),
     });
