--- a/test/members-test.cc
+++ b/test/members-test.cc
@@ -1,10 +1,9 @@
 #include "oriolelever/members.h"
 
-#include <unistd.h>
+#include <asio/ip/tcp.hpp>
 
 #include <algorithm>
 
-#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "fakes.h"
@@ -16,23 +15,34 @@
 
 constexpr std::chrono::seconds watchdog{30};
 
-// An address of this test process's own: the heartbeats' UDP port has the number of the streams' TCP port,
-// and at a shared address another test may hold it.
 Endpoint loopback()
 {
-    constexpr int hostsInByte = 250;
-    const int pid = getpid();
     Endpoint endpoint;
-    parseIpAddress(fmt::format("127.{}.{}.1", 1 + pid / hostsInByte % hostsInByte, 1 + pid % hostsInByte),
-                   endpoint.address);
+    parseIpAddress("127.0.0.1", endpoint.address);
     return endpoint;
 }
 
+// A port that is free for TCP and for UDP; ephemeral ports of the two are given out separately.
+Endpoint freePort(asio::io_context &context)
+{
+    auto endpoint = loopback();
+    while (true) {
+        const asio::ip::tcp::acceptor tcp(context, {asio::ip::address_v4::loopback(), 0});
+        endpoint.port = tcp.local_endpoint().port();
+        asio::ip::udp::socket udp(context, asio::ip::udp::v4());
+        asio::error_code error;
+        udp.bind({asio::ip::address_v4::loopback(), endpoint.port}, error);
+        if (!error) {
+            return endpoint;
+        }
+    }
+}
+
 struct Process
 {
     Process(asio::io_context &context, ObjectApi &platform, const std::string &name, NodeRole role,
             const std::string &zone, const std::vector<Endpoint> &seeds)
-        : streams(context, {.listen = loopback(), .tls = {.plain = true}})
+        : streams(context, {.listen = freePort(context), .tls = {.plain = true}})
         , records({.name = name,
                    .role = role,
                    .zone = zone,
@@ -200,7 +210,7 @@
     TagKeys wrong;
     wrong.current = TagKey{9};
     const auto bytes = encodePing({.type = PingType::Ping, .from = "b2", .to = "b1", .nonce = 1}, wrong);
-    const auto target = m_processes[0]->streams.listenEndpoint();
-    socket.send_to(asio::buffer(bytes), {asio::ip::make_address(toString(target.address)), target.port});
+    const auto port = m_processes[0]->streams.listenEndpoint().port;
+    socket.send_to(asio::buffer(bytes), {asio::ip::address_v4::loopback(), port});
     EXPECT_TRUE(runUntil([&] { return m_processes[0]->members->totals().refused > 0; }));
 }
