--- a/src/records.cc
+++ b/src/records.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t smallFleet = 32; ///< Members up to which exchanges run at the full rate.
 constexpr int largeFleetFactor = 2;
 constexpr int agentFactor = 5; ///< Agents of a large fleet compare this many times less often.
+constexpr unsigned anyPeerShare = 8; ///< One exchange in this many goes to a member that is no neighbour.
 constexpr unsigned downPeerShare = 8; ///< One exchange in this many goes to a node that is down.
 constexpr std::chrono::milliseconds lastPushTime{200}; ///< For the last announcement to leave.
 constexpr std::chrono::seconds unreachableTime{10}; ///< Before an agent tries such a balancer again.
@@ -199,7 +200,9 @@
     }
     if (record.key.kind == RecordKind::Node) {
         const auto role = view().nodes.at(record.key.name).announcement.role;
-        m_membersChanged = m_membersChanged || role == NodeRole::Balancer;
+        if (role == NodeRole::Balancer) {
+            m_changedMembers.push_back(record.key.name);
+        }
         noteOwn(record);
     }
     schedulePush();
@@ -252,10 +255,12 @@
 
 void Records::refreshMembers()
 {
-    if (!std::exchange(m_membersChanged, false)) {
+    if (m_changedMembers.empty()) {
         return;
     }
-    m_members = liveMembers(view());
+    for (const auto &name : std::exchange(m_changedMembers, {})) {
+        updateMember(m_members, view(), name);
+    }
     startWatch();
 }
 
@@ -308,6 +313,15 @@
             return down[m_random() % down.size()];
         }
     }
+    // Mostly neighbours, whose connections are open already; sometimes anyone.
+    if (candidates.size() > fullMeshLimit && m_random() % anyPeerShare != 0) {
+        std::vector<std::uint64_t> labels;
+        for (const auto &member : m_members) {
+            labels.push_back(member.label);
+        }
+        const auto edges = hypercubeEdges(labels, labelOf(m_options.zone, m_options.name));
+        return m_members[edges[m_random() % edges.size()].nearest].control;
+    }
     if (candidates.empty()) {
         candidates = m_options.seeds;
     }
