A caller that hangs up cancels its request at the agent it was handed over to

Until now only the deadline ended such a request there. The agent that handed it over names it and sends /cancel; the test lets the server's agent refuse and counts the cancelled run at the other server.

--- a/include/oriolelever/request.h
+++ b/include/oriolelever/request.h
@@ -90,6 +90,12 @@
     Duration maxWait{0}; ///< The other agent refuses it if it would wait longer there; 0 for no such limit.
 };
 
+/// Tells the other agent that the answer is no longer wanted.
+struct CancelHandover
+{
+    RequestId request = 0;
+};
+
 /// Passes the answer of this attempt on to the caller.
 struct RelayAnswer
 {
@@ -107,8 +113,8 @@
     bool relayed = false; ///< Part of an answer went to the caller before the end.
 };
 
-using Effect
-    = std::variant<StartClaim, SettleClaim, SendAttempt, CancelAttempt, HandOver, RelayAnswer, Finish>;
+using Effect = std::variant<StartClaim, SettleClaim, SendAttempt, CancelAttempt, HandOver, CancelHandover,
+                            RelayAnswer, Finish>;
 using Effects = std::vector<Effect>;
 
 struct GateOptions
--- a/lab/agents.cc
+++ b/lab/agents.cc
@@ -144,6 +144,15 @@
     return sum;
 }
 
+std::uint64_t AgentCluster::cancelled() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &server : m_servers) {
+        sum += server->figures().cancelled;
+    }
+    return sum;
+}
+
 std::uint64_t AgentCluster::ranTwice() const
 {
     std::uint64_t sum = 0;
--- a/lab/agents.h
+++ b/lab/agents.h
@@ -33,6 +33,7 @@
     std::shared_ptr<const RunLedger> ledger() const;
     std::uint64_t runs() const;
     std::uint64_t ranTwice() const;
+    std::uint64_t cancelled() const;
 
 private:
     std::unique_ptr<RequestRunner> makeAgent(std::size_t i, const Endpoint &listen, const Endpoint &handover);
--- a/lab/requests-agents.cc
+++ b/lab/requests-agents.cc
@@ -340,6 +340,7 @@
     }
     const auto other = (i + 1 + m_random() % (m_agents.size() - 1)) % m_agents.size();
     const auto request = effect.request;
+    known->second.to = other;
     auto original = known->second;
     original.facts.maxWait = effect.maxWait;
     const auto incarnation = m_agents[i].incarnation;
@@ -373,6 +374,25 @@
     });
 }
 
+void World::execute(std::size_t i, const CancelHandover &effect)
+{
+    const auto known = m_agents[i].carried.find(effect.request);
+    if (known == m_agents[i].carried.end()) {
+        return;
+    }
+    const auto to = known->second.to;
+    const auto submission = known->second.submission.id;
+    after(networkDelay(), [this, i, to, submission] {
+        for (const auto &[id, carried] : m_agents[to].carried) {
+            if (carried.facts.handedOver && carried.from == i && carried.submission.id == submission) {
+                const auto request = id;
+                step(to, [&](Gate &gate, Effects &effects) { callerGone(gate, request, m_now, effects); });
+                return;
+            }
+        }
+    });
+}
+
 void World::execute(std::size_t, const RelayAnswer &)
 {
 }
--- a/lab/requests-world.h
+++ b/lab/requests-world.h
@@ -72,6 +72,7 @@
     Submission submission;
     RequestFacts facts;
     std::string key;
+    std::size_t to = 0; ///< Agent that it was handed over to.
     std::size_t from = 0; ///< Agent that handed it over.
     RequestId fromRequest = 0;
     std::uint64_t content = 0; ///< Of the answer.
@@ -144,6 +145,7 @@
     void execute(std::size_t i, const SendAttempt &effect);
     void execute(std::size_t i, const CancelAttempt &effect);
     void execute(std::size_t i, const HandOver &effect);
+    void execute(std::size_t i, const CancelHandover &effect);
     void execute(std::size_t i, const RelayAnswer &effect);
     void execute(std::size_t i, const Finish &effect);
     void askHolder(std::size_t i, RequestId request, const Holder &holder);
--- a/src/request-effects.cc
+++ b/src/request-effects.cc
@@ -35,6 +35,8 @@
     added.handedOver = true;
     added.urgency = in.ordinary() ? Urgency::Ordinary : Urgency::Urgent;
     added.caller = in.caller();
+    added.origin = in.origin();
+    byOrigin[added.origin] = id;
     auto &outbound = added.outbound;
     outbound.id = id;
     outbound.method = in.method();
@@ -134,6 +136,7 @@
         return;
     }
     known->balanced = effect.maxWait.count() > 0;
+    known->peer = peer->handover;
     const auto left = std::chrono::floor<milliseconds>(known->outbound.deadline - now);
     proto::HandoverRequest out;
     out.set_method(known->outbound.method);
@@ -147,6 +150,7 @@
     out.set_idempotent(known->outbound.idempotent);
     out.set_ordinary(known->urgency == Urgency::Ordinary);
     out.set_caller(known->caller);
+    out.set_origin(originOf(request));
     out.set_left_ms(left.count());
     out.set_max_wait_us(std::chrono::floor<std::chrono::microseconds>(effect.maxWait).count());
     streams->call(peer->handover, "/handover", out.SerializeAsString(), left,
@@ -195,6 +199,38 @@
     });
 }
 
+void RequestRunner::State::execute(const CancelHandover &effect)
+{
+    constexpr milliseconds cancelTimeout{250};
+    const auto *const known = find(effect.request);
+    if (known == nullptr || known->peer.port == 0) {
+        return;
+    }
+    proto::CancelRequest out;
+    out.set_origin(originOf(effect.request));
+    streams->call(known->peer, "/cancel", out.SerializeAsString(), cancelTimeout,
+                  [](const Result<std::string> &) {});
+}
+
+void RequestRunner::State::cancelArrived(const std::string &body, const Streams::Reply &reply)
+{
+    proto::CancelRequest in;
+    if (!in.ParseFromString(body)) {
+        reply(Error{Code::MessageMalformed, "cancellation cannot be decoded"});
+        return;
+    }
+    const auto known = byOrigin.find(in.origin());
+    if (known != byOrigin.end()) {
+        callerGone(known->second);
+    }
+    reply(std::string());
+}
+
+std::string RequestRunner::State::originOf(RequestId request) const
+{
+    return fmt::format("{}-{}-{}", options.self.name, options.self.incarnation, request);
+}
+
 void RequestRunner::State::execute(const RelayAnswer &effect)
 {
     auto *const known = find(effect.request);
@@ -285,6 +321,7 @@
         answer.close = draining;
         front->answer(effect.request, answer);
     }
+    byOrigin.erase(known->origin);
     carried.erase(effect.request);
 }
 
--- a/src/request-runner.cc
+++ b/src/request-runner.cc
@@ -40,6 +40,9 @@
     streams->handle("/handover", [this](const std::string &body, const Streams::Reply &reply) {
         handoverArrived(body, reply);
     });
+    streams->handle("/cancel", [this](const std::string &body, const Streams::Reply &reply) {
+        cancelArrived(body, reply);
+    });
     front = std::make_unique<Front>(context, options.front, *this);
     BOOST_LEAF_CHECK(front->open());
     return {};
--- a/src/request-state.h
+++ b/src/request-state.h
@@ -38,6 +38,8 @@
     TimePoint arrived{};
     Streams::Reply reply{nullptr}; ///< Of a request of another agent.
     bool handedOver = false;
+    std::string origin; ///< Name of a handed over request at the agent it came from.
+    Endpoint peer; ///< Where it was handed over to.
     bool balanced = false; ///< Handed over to start earlier, not because it cannot run here.
     AnswerHead head;
     std::string body; ///< Whole answer, or its part so far for another agent.
@@ -73,6 +75,8 @@
     void answerEnded(RequestId request, AttemptId attempt) override;
     void attemptFailed(RequestId request, AttemptId attempt, AttemptFailure failure) override;
 
+    void cancelArrived(const std::string &body, const Streams::Reply &reply);
+    std::string originOf(RequestId request) const;
     void handoverArrived(const std::string &body, const Streams::Reply &reply);
     std::chrono::milliseconds deadlineOf(const HeaderList &headers) const;
     Urgency urgencyOf(const CallerRequest &request) const;
@@ -92,6 +96,7 @@
     void execute(const SendAttempt &effect);
     void execute(const CancelAttempt &effect);
     void execute(const HandOver &effect);
+    void execute(const CancelHandover &effect);
     void execute(const RelayAnswer &effect);
     void execute(const Finish &effect);
     void handoverReplied(RequestId request, const std::string &peer, const std::string *body, Code error);
@@ -112,6 +117,7 @@
     std::unique_ptr<Upstream> upstream;
     std::unique_ptr<Front> front;
     std::unordered_map<RequestId, detail::Carried> carried;
+    std::map<std::string, RequestId> byOrigin; ///< Requests of other agents.
     std::vector<RequestPeer> peers;
     std::map<std::string, TimePoint> refusedUntil; ///< Peers that refused a handover.
     RequestId lastHandover = detail::firstHandoverId;
--- a/src/request.cc
+++ b/src/request.cc
@@ -78,6 +78,9 @@
         effects.push_back(CancelAttempt{id, attempt.id});
         noteCancelled(gate.limiter);
     }
+    if (state.phase == Phase::HandedOver) {
+        effects.push_back(CancelHandover{id});
+    }
     if (state.phase == Phase::Waiting) {
         remove(gate.queue, id);
     }
--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -400,6 +400,18 @@
     EXPECT_EQ(cluster.runs(), 1U);
 }
 
+TEST_F(RequestsTest, CallerThatHangsUpCancelsTheRunAtAnotherAgent)
+{
+    lab::AgentCluster cluster(2, {.serviceTime = 10s});
+    cluster.stopServer(0);
+    asio::io_context context;
+    auto caller = connectTo(context, cluster.endpoint(0));
+    send(caller, "GET /status HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(eventually([&] { return cluster.runs(); }, 1U), 1U);
+    caller.close();
+    EXPECT_EQ(eventually([&] { return cluster.cancelled(); }, 1U), 1U);
+}
+
 TEST_F(RequestsTest, DrainUnderLoadCutsNothing)
 {
     Cluster cluster;
