Bound on the push of changes comes from the stated budget

Cause: the bound on messages a change had been raised from 2 to 3 to fit a measured 2.12. Change: the check is on bytes a second against half of the stated 12 KB/s at the stated rate of changes. Conclusion: the bound no longer follows the figure.

--- a/test/stability-test.cc
+++ b/test/stability-test.cc
@@ -52,13 +52,18 @@
     EXPECT_LT(figures.longest, 1s);
 }
 
+// The stated size: 53,000 changes of rows, and 14,160 restarts and failures with three announcements each, a
+// day; a node spends at most 12 KB a second. Half of that is left to the push of changes, sent and received.
+constexpr double changesPerSecond = (53'000.0 + 3 * 14'160.0) / 86'400;
+constexpr double controlBytesPerSecond = 12'000;
+
 TEST(SpreadTest, ChangesReachAllWithLostCallsAndNodesThatAreDown)
 {
     for (const double loss : {0.0, 0.1}) {
         const auto figures
             = measureSpread({.nodes = 500, .changes = 10, .failed = 50, .loss = loss, .seed = 3});
         EXPECT_LT(figures.longest, 13s) << loss;
-        EXPECT_LT(figures.messagesPerChange, 3) << loss;
+        EXPECT_LT(2 * figures.bytesPerChange * changesPerSecond, controlBytesPerSecond / 2) << loss;
     }
 }
 
