--- a/src/directory-copies.cc
+++ b/src/directory-copies.cc
@@ -55,8 +55,13 @@
     }
     for (const auto &caller : copy.ended) {
         const auto known = directory.flows.find(caller);
-        if (known != directory.flows.end() && known->second.holder == from) {
-            eraseFlow(directory, caller);
+        if (known == directory.flows.end() || known->second.holder != from) {
+            continue;
+        }
+        if (ownsBucket(directory, known->second.bucket)) {
+            known->second.copied = false; // The directory sees the flow's packets itself.
+        } else {
+            directory.flows.erase(known);
         }
     }
 }
