--- a/lab/world-callers.cc
+++ b/lab/world-callers.cc
@@ -41,7 +41,10 @@
     if (zone.lastOutAt != TimePoint{} && (zone.out || zone.lastOutAt + inForceLimit >= flow.openedAt)) {
         return Cause::Zone;
     }
-    return home.diedAt >= flow.openedAt && home.diedAt != TimePoint{} ? Cause::Crash : Cause::Change;
+    // Every UDP packet may be a first one, so a UDP flow goes on elsewhere once its agent is found dead.
+    const bool udp = serviceOf(world, flow).protocol == Protocol::Udp;
+    const auto lostAt = udp ? std::max(home.diedAt, home.foundDeadAt) : home.diedAt;
+    return lostAt >= flow.openedAt && lostAt != TimePoint{} ? Cause::Crash : Cause::Change;
 }
 
 void breakFlow(World &world, LabFlow &flow)
--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -276,6 +276,7 @@
 
 void announceDown(World &world, LabHost &host)
 {
+    host.foundDeadAt = world.now;
     auto record = announcementOf(host, NodeState::Down);
     ++record.version.sequence;
     publish(world, record);
--- a/lab/world.h
+++ b/lab/world.h
@@ -94,6 +94,7 @@
     bool coldByStart = false;
     std::uint64_t sinceCold = 0; ///< Flows opened since.
     TimePoint diedAt;
+    TimePoint foundDeadAt; ///< When it was announced as dead, rightly or not.
     double controlBytes = 0;
 };
 
