--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -209,7 +209,7 @@
     Duration loadInterval = std::chrono::milliseconds(200); ///< Between load messages to a peer.
     std::size_t loadFanout = 16; ///< Peers that get a load message in one interval.
     Duration idleTime = std::chrono::hours(2); ///< A flow without packets is freed after this.
-    Duration udpQuietTime = std::chrono::seconds(4); ///< A UDP flow without packets is no load after this.
+    Duration udpQuietTime = std::chrono::seconds(3); ///< A UDP flow without packets is no load after this.
     Duration closeTime = std::chrono::seconds(60); ///< A flow that began to close is freed after this.
     /// A longer pause makes the agent ask for its buckets again; must be shorter than the time in which the
     /// members find a node dead.
