--- a/lab/commands.h
+++ b/lab/commands.h
@@ -22,5 +22,12 @@
 Command replayCommand();
 /// Replays many seeds of one case.
 Command sweepCommand();
+/// Measures the costs of control for one node.
+Command controlCommand();
+/// Compares ways to learn that a version is in force everywhere.
+Command stabilityCommand();
+
+/// Runs callers, agents and faulty backend servers in virtual time.
+Command requestsCommand();
 
 } // namespace oriolelever::lab
--- a/lab/http-callers.h
+++ b/lab/http-callers.h
@@ -22,6 +22,7 @@
     std::size_t scanBytes = 16'384;
     std::chrono::milliseconds deadline{2000};
     std::uint32_t maxTries = 4;
+    bool direct = false; ///< The targets are backend servers: any status 200 is an answer.
     std::shared_ptr<const RunLedger> ledger; ///< Checks refusals as not run; may be null.
     std::uint64_t seed = 1;
 };
@@ -62,6 +63,8 @@
     std::unique_ptr<State> m_state;
 };
 
+/// A UUID of version 7 with the given time.
+std::string makeKeyAt(std::chrono::system_clock::time_point time, std::uint64_t random);
 /// A UUID of version 7 with the time of now.
 std::string makeKey(std::uint64_t random);
 
