A restarted agent hears its flows and its warmth from peers that no longer own them

Change: a certain entry is told whoever owns the bucket now; peers tell the share that they last heard.

--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -136,6 +136,8 @@
     std::uint32_t openFlows = 0;
     std::uint32_t limit = 0; ///< Flows that it bears now.
     std::uint16_t sharePermille = 0; ///< Warmth.
+    std::uint16_t heardPermille
+        = 0; ///< Warmth that the sender last heard of the receiver; 0 when it heard none.
     bool lostBuckets = false; ///< The sender's roster has changed: denied questions are worth repeating.
 
     bool operator==(const LoadMessage &) const = default;
@@ -341,6 +343,7 @@
     std::size_t loadCursor = 0;
     bool started = false;
     bool recovering = true; ///< The server may have flows that this process does not know.
+    bool shareRecovered = false; ///< The warmth was taken over from before the start.
     bool recovered = false; ///< Every peer has told which flows the server has.
     DirectoryCounters counters;
     std::vector<Candidate> candidates; ///< Scratch.
--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -151,7 +151,7 @@
                                    .incarnation = host.agentLife,
                                    .seed = world.trace.seed,
                                    .serverLivedOn = warm,
-                                   .warm = warm};
+                                   .warm = world.now <= TimePoint{} + std::chrono::microseconds(1)};
     host.directory = makeDirectory(options, world.now);
     host.held.clear();
 }
--- a/src/directory-codec.cc
+++ b/src/directory-codec.cc
@@ -172,6 +172,7 @@
     return {.openFlows = part.open_flows(),
             .limit = part.limit(),
             .sharePermille = static_cast<std::uint16_t>(std::min(part.share_permille(), 1000U)),
+            .heardPermille = static_cast<std::uint16_t>(std::min(part.heard_permille(), 1000U)),
             .lostBuckets = part.lost_buckets()};
 }
 
@@ -253,6 +254,7 @@
         load.set_limit(message.load.limit);
         load.set_share_permille(message.load.sharePermille);
         load.set_lost_buckets(message.load.lostBuckets);
+        load.set_heard_permille(message.load.heardPermille);
         break;
     }
     case DirectoryMessageKind::Gone:
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -50,7 +50,8 @@
     if (entry.copied && keeps) {
         return true;
     }
-    return ownsBucket(directory, entry.bucket);
+    // A certain entry has been here since this agent last held the bucket.
+    return ownsBucket(directory, entry.bucket) || (entry.certain && !entry.copied);
 }
 
 NotesByBucket collectNotes(Directory &directory, ServerId asker, const std::vector<bool> &granted,
@@ -62,10 +63,10 @@
         if (!asked[entry.bucket]) {
             continue;
         }
-        if (granted[entry.bucket] && entry.holder != self) {
+        const bool atAsker = entry.holder == asker;
+        if (granted[entry.bucket] && entry.holder != self && !(recovers && atAsker)) {
             entry.certain = false;
         }
-        const bool atAsker = entry.holder == asker;
         const bool told
             = atAsker ? recovers && tellsHolder(directory, asker, entry, now) : granted[entry.bucket];
         if (!told) {
@@ -148,6 +149,9 @@
             forgetBucket(directory, bucket);
         }
     }
+    if (ask.recovers) {
+        sendLoad(directory, from, false, effects);
+    }
     const auto notes = collectNotes(directory, from, granted, asked, ask.recovers, now);
     AnswerWriter writer{.directory = directory, .to = from, .sequence = ask.sequence, .effects = effects};
     static const std::vector<FlowNote> none;
@@ -239,6 +243,10 @@
     peer.share = load.sharePermille / 1000.0;
     peer.placedSince = 0;
     peer.loadKnown = true;
+    if (directory.recovering && !directory.shareRecovered && load.heardPermille > 0) {
+        directory.shareRecovered = true;
+        directory.warmth.share = std::max(directory.warmth.share, load.heardPermille / 1000.0);
+    }
     if (load.lostBuckets && !peer.asking.empty()) {
         peer.askWait = Duration{0};
         sendAsk(directory, from, peer, now, effects);
--- a/src/directory-roster.cc
+++ b/src/directory-roster.cc
@@ -196,6 +196,7 @@
     message.load = {.openFlows = directory.localFlows,
                     .limit = localLimit(directory),
                     .sharePermille = static_cast<std::uint16_t>(directory.warmth.share * 1000),
+                    .heardPermille = static_cast<std::uint16_t>(directory.peers[id].share * 1000),
                     .lostBuckets = lostBuckets};
     sendMessage(directory, id, std::move(message), effects);
 }
--- a/test/directory-codec-test.cc
+++ b/test/directory-codec-test.cc
@@ -51,7 +51,7 @@
     EXPECT_EQ(roundTrip(message), message);
     message.answer = {};
     message.kind = DirectoryMessageKind::Load;
-    message.load = {.openFlows = 1, .limit = 2, .sharePermille = 3, .lostBuckets = true};
+    message.load = {.openFlows = 1, .limit = 2, .sharePermille = 3, .heardPermille = 4, .lostBuckets = true};
     EXPECT_EQ(roundTrip(message), message);
     message.load = {};
     message.kind = DirectoryMessageKind::Gone;
