--- a/include/oriolelever/directory.h
+++ b/include/oriolelever/directory.h
@@ -136,6 +136,8 @@
     std::uint32_t openFlows = 0;
     std::uint32_t limit = 0; ///< Flows that it bears now.
     std::uint16_t sharePermille = 0; ///< Warmth.
+    std::uint16_t heardPermille
+        = 0; ///< Warmth that the sender last heard of the receiver; 0 when it heard none.
     bool lostBuckets = false; ///< The sender's roster has changed: denied questions are worth repeating.
 
     bool operator==(const LoadMessage &) const = default;
@@ -209,7 +211,7 @@
     Duration loadInterval = std::chrono::milliseconds(200); ///< Between load messages to a peer.
     std::size_t loadFanout = 16; ///< Peers that get a load message in one interval.
     Duration idleTime = std::chrono::hours(2); ///< A flow without packets is freed after this.
-    Duration udpQuietTime = std::chrono::seconds(4); ///< A UDP flow without packets is no load after this.
+    Duration udpQuietTime = std::chrono::seconds(3); ///< A UDP flow without packets is no load after this.
     Duration closeTime = std::chrono::seconds(60); ///< A flow that began to close is freed after this.
     /// A longer pause makes the agent ask for its buckets again; must be shorter than the time in which the
     /// members find a node dead.
@@ -341,6 +343,7 @@
     std::size_t loadCursor = 0;
     bool started = false;
     bool recovering = true; ///< The server may have flows that this process does not know.
+    bool shareRecovered = false; ///< The warmth was taken over from before the start.
     bool recovered = false; ///< Every peer has told which flows the server has.
     DirectoryCounters counters;
     std::vector<Candidate> candidates; ///< Scratch.
