Effects of the gate have a name of their own

Cause: two modules called their results Effects, so that no source could use both. Change: the gate's are GateEffects; the factory that kept the two apart is gone. Measured: all of request-test passes. Conclusion: the daemon includes both modules.

--- a/include/oriolelever/daemon.h
+++ b/include/oriolelever/daemon.h
@@ -11,9 +11,6 @@
 /// that depend on each other clash.
 Result<void> addServices(Kernel &kernel, const Settings &settings, NodeRole role);
 
-/// The service "requests" of an agent.
-std::unique_ptr<Service> makeRequests(const Settings &settings, Incarnation incarnation);
-
 /// Reads and checks `file` for a role, runs the daemon until a graceful shutdown. Returns the exit status.
 int runDaemon(const std::string &file, NodeRole role);
 
--- a/include/oriolelever/request.h
+++ b/include/oriolelever/request.h
@@ -3,7 +3,7 @@
 /// Events go in, effects come out; the daemon, the tests and the lab run the same functions.
 ///
 ///     Gate gate;
-///     Effects effects;
+///     GateEffects effects;
 ///     arrive(gate, facts, now, effects);
 #pragma once
 
@@ -115,7 +115,7 @@
 
 using Effect = std::variant<StartClaim, SettleClaim, SendAttempt, CancelAttempt, HandOver, CancelHandover,
                             RelayAnswer, Finish>;
-using Effects = std::vector<Effect>;
+using GateEffects = std::vector<Effect>;
 
 struct GateOptions
 {
@@ -182,21 +182,21 @@
 };
 
 /// A request came in.
-void arrive(Gate &gate, const RequestFacts &facts, TimePoint now, Effects &effects);
+void arrive(Gate &gate, const RequestFacts &facts, TimePoint now, GateEffects &effects);
 
 enum class ClaimVerdict : std::uint8_t { Fresh, Answered, EarlierUnknown, Unreachable, NotProven };
 
 /// The claim ended. `Answered` means that the edge holds the first run's answer. `retryAfter` counts for
 /// `NotProven`.
 void claimEnded(Gate &gate, RequestId request, ClaimVerdict verdict, std::chrono::milliseconds retryAfter,
-                TimePoint now, Effects &effects);
+                TimePoint now, GateEffects &effects);
 
 /// A byte of the attempt may have left towards the server; must come before the byte does.
 void byteLeft(Gate &gate, RequestId request, AttemptId attempt);
 /// The head of an answer too large to be held came: this attempt is the one passed on.
-void answerBegan(Gate &gate, RequestId request, AttemptId attempt, Effects &effects);
+void answerBegan(Gate &gate, RequestId request, AttemptId attempt, GateEffects &effects);
 /// The whole answer came.
-void answerEnded(Gate &gate, RequestId request, AttemptId attempt, TimePoint now, Effects &effects);
+void answerEnded(Gate &gate, RequestId request, AttemptId attempt, TimePoint now, GateEffects &effects);
 
 enum class AttemptFailure : std::uint8_t {
     NotSent, ///< No byte left.
@@ -205,17 +205,17 @@
 };
 
 void attemptFailed(Gate &gate, RequestId request, AttemptId attempt, AttemptFailure failure, TimePoint now,
-                   Effects &effects);
+                   GateEffects &effects);
 
 enum class HandoverEnd : std::uint8_t { Answered, RefusedNotRun, NotSent, Unknown };
 
 void handoverEnded(Gate &gate, RequestId request, HandoverEnd end, std::chrono::milliseconds retryAfter,
-                   TimePoint now, Effects &effects);
+                   TimePoint now, GateEffects &effects);
 
 /// The caller hung up.
-void callerGone(Gate &gate, RequestId request, TimePoint now, Effects &effects);
+void callerGone(Gate &gate, RequestId request, TimePoint now, GateEffects &effects);
 /// Enforces deadlines, starts waiting requests and hedges; call it every few milliseconds and after a pause.
-void tick(Gate &gate, TimePoint now, Effects &effects);
+void tick(Gate &gate, TimePoint now, GateEffects &effects);
 /// From now on new requests are handed over or refused.
 void beginDrain(Gate &gate);
 
--- a/lab/requests-agents.cc
+++ b/lab/requests-agents.cc
@@ -94,7 +94,7 @@
             const auto from = carried.from;
             const auto request = carried.fromRequest;
             after(breakDelay, [this, from, request] {
-                step(from, [&](Gate &gate, Effects &effects) {
+                step(from, [&](Gate &gate, GateEffects &effects) {
                     handoverEnded(gate, request, HandoverEnd::Unknown, {}, m_now, effects);
                 });
             });
@@ -125,16 +125,16 @@
 {
     after(tickInterval, [this, i] { tickAgent(i); });
     if (m_agents[i].up) {
-        step(i, [&](Gate &gate, Effects &effects) { tick(gate, m_now, effects); });
+        step(i, [&](Gate &gate, GateEffects &effects) { tick(gate, m_now, effects); });
     }
 }
 
-void World::step(std::size_t i, const std::function<void(Gate &, Effects &)> &decide)
+void World::step(std::size_t i, const std::function<void(Gate &, GateEffects &)> &decide)
 {
     if (!m_agents[i].up) {
         return;
     }
-    Effects effects;
+    GateEffects effects;
     decide(m_agents[i].gate, effects);
     for (const auto &effect : effects) {
         std::visit([&](const auto &known) { execute(i, known); }, effect);
@@ -151,7 +151,7 @@
     if (m_options.mutation == Mutation::ClaimsIgnored) {
         const auto request = effect.request;
         after(networkDelay(), [this, i, request] {
-            step(i, [&](Gate &gate, Effects &effects) {
+            step(i, [&](Gate &gate, GateEffects &effects) {
                 claimEnded(gate, request, ClaimVerdict::Fresh, {}, m_now, effects);
             });
         });
@@ -172,7 +172,7 @@
     if (holders.empty()) {
         const auto request = effect.request;
         after(networkDelay(), [this, i, request] {
-            step(i, [&](Gate &gate, Effects &effects) {
+            step(i, [&](Gate &gate, GateEffects &effects) {
                 claimEnded(gate, request, ClaimVerdict::Unreachable, milliseconds(100), m_now, effects);
             });
         });
@@ -260,7 +260,8 @@
         verdict = ClaimVerdict::NotProven;
         break;
     }
-    step(i, [&](Gate &gate, Effects &effects) { claimEnded(gate, request, verdict, wait, m_now, effects); });
+    step(i,
+         [&](Gate &gate, GateEffects &effects) { claimEnded(gate, request, verdict, wait, m_now, effects); });
 }
 
 void World::settleAt(const ClaimRequest &claimRequest, ClaimEnd end, const KeptAnswer &answer)
@@ -346,7 +347,7 @@
     const auto incarnation = m_agents[i].incarnation;
     const auto ended = [this, i, request, incarnation](HandoverEnd end) {
         if (m_agents[i].incarnation == incarnation) {
-            step(i, [&](Gate &gate, Effects &effects) {
+            step(i, [&](Gate &gate, GateEffects &effects) {
                 handoverEnded(gate, request, end, {}, m_now, effects);
             });
         }
@@ -370,7 +371,7 @@
         carried.from = i;
         carried.fromRequest = request;
         const auto facts = carried.facts;
-        step(other, [&](Gate &gate, Effects &effects) { arrive(gate, facts, m_now, effects); });
+        step(other, [&](Gate &gate, GateEffects &effects) { arrive(gate, facts, m_now, effects); });
     });
 }
 
@@ -386,7 +387,8 @@
         for (const auto &[id, carried] : m_agents[to].carried) {
             if (carried.facts.handedOver && carried.from == i && carried.submission.id == submission) {
                 const auto request = id;
-                step(to, [&](Gate &gate, Effects &effects) { callerGone(gate, request, m_now, effects); });
+                step(to,
+                     [&](Gate &gate, GateEffects &effects) { callerGone(gate, request, m_now, effects); });
                 return;
             }
         }
@@ -426,7 +428,7 @@
         const auto end = effect.outcome == Code::Answered ? HandoverEnd::Answered
             : effect.outcome == Code::RefusedNotRun       ? HandoverEnd::RefusedNotRun
                                                           : HandoverEnd::Unknown;
-        step(carried.from, [&](Gate &gate, Effects &effects) {
+        step(carried.from, [&](Gate &gate, GateEffects &effects) {
             handoverEnded(gate, carried.fromRequest, end, effect.retryAfter, m_now, effects);
         });
     });
--- a/lab/requests-servers.cc
+++ b/lab/requests-servers.cc
@@ -143,7 +143,7 @@
             known->second.whole = whole;
         }
         const auto told = m_options.mutation == Mutation::SentForgotten ? AttemptFailure::NotSent : failure;
-        step(run->agent, [&](Gate &gate, Effects &effects) {
+        step(run->agent, [&](Gate &gate, GateEffects &effects) {
             if (failed) {
                 attemptFailed(gate, run->gateRequest, run->attempt, told, m_now, effects);
             } else {
--- a/lab/requests-world.h
+++ b/lab/requests-world.h
@@ -139,7 +139,7 @@
     void spreadView();
     void recoverClaims(std::size_t i);
     void tickAgent(std::size_t i);
-    void step(std::size_t i, const std::function<void(Gate &, Effects &)> &decide);
+    void step(std::size_t i, const std::function<void(Gate &, GateEffects &)> &decide);
     void execute(std::size_t i, const StartClaim &effect);
     void execute(std::size_t i, const SettleClaim &effect);
     void execute(std::size_t i, const SendAttempt &effect);
--- a/lab/requests.cc
+++ b/lab/requests.cc
@@ -88,7 +88,8 @@
                          .arrived = m_now,
                          .deadline = m_now + m_options.deadline};
         const auto facts = carried.facts;
-        step(submission.agent, [&](Gate &gate, Effects &effects) { arrive(gate, facts, m_now, effects); });
+        step(submission.agent,
+             [&](Gate &gate, GateEffects &effects) { arrive(gate, facts, m_now, effects); });
     });
 }
 
--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -14,6 +14,7 @@
 #include "oriolelever/metrics.h"
 #include "oriolelever/platform.h"
 #include "oriolelever/records.h"
+#include "oriolelever/requests.h"
 #include "oriolelever/streams.h"
 #include "oriolelever/traffic.h"
 
@@ -110,7 +111,7 @@
     }
     kernel.add("traffic", std::make_unique<AgentTraffic>(settings, incarnation));
     kernel.add("levels", std::make_unique<Levels>(settings.text("server", "service")));
-    kernel.add("requests", makeRequests(settings, incarnation));
+    kernel.add("requests", std::make_unique<Requests>(settings, incarnation));
     return {};
 }
 
--- a/src/request-effects.cc
+++ b/src/request-effects.cc
@@ -55,7 +55,7 @@
                              .maxWait = std::chrono::microseconds(in.max_wait_us()),
                              .arrived = now,
                              .deadline = outbound.deadline};
-    step([&](TimePoint, Effects &effects) { arrive(gate, facts, now, effects); });
+    step([&](TimePoint, GateEffects &effects) { arrive(gate, facts, now, effects); });
 }
 
 Carried *RequestRunner::State::find(RequestId request)
@@ -79,7 +79,7 @@
                           waiting->head.headers = {{"Content-Type", outcome.answer.contentType}};
                           waiting->body = outcome.answer.body;
                       }
-                      step([&](TimePoint now, Effects &effects) {
+                      step([&](TimePoint now, GateEffects &effects) {
                           claimEnded(gate, request, outcome.verdict, outcome.retryAfter, now, effects);
                       });
                   });
@@ -194,7 +194,7 @@
         }
         known->body = in.body();
     }
-    step([&](TimePoint now, Effects &effects) {
+    step([&](TimePoint now, GateEffects &effects) {
         handoverEnded(gate, request, end, retryAfter, now, effects);
     });
 }
--- a/src/request-runner.cc
+++ b/src/request-runner.cc
@@ -62,7 +62,7 @@
         if (error) {
             return;
         }
-        step([this](TimePoint now, Effects &effects) { tick(gate, now, effects); });
+        step([this](TimePoint now, GateEffects &effects) { tick(gate, now, effects); });
         if (ticks++ % maintenanceTicks == 0) {
             maintain();
         }
@@ -157,12 +157,12 @@
                              .keyed = !added.key.empty(),
                              .arrived = now,
                              .deadline = outbound.deadline};
-    step([&](TimePoint, Effects &effects) { arrive(gate, facts, now, effects); });
+    step([&](TimePoint, GateEffects &effects) { arrive(gate, facts, now, effects); });
 }
 
 void RequestRunner::State::callerGone(RequestId request)
 {
-    step([&](TimePoint now, Effects &effects) { oriolelever::callerGone(gate, request, now, effects); });
+    step([&](TimePoint now, GateEffects &effects) { oriolelever::callerGone(gate, request, now, effects); });
 }
 
 void RequestRunner::State::byteLeft(RequestId request, AttemptId attempt)
@@ -172,7 +172,7 @@
 
 void RequestRunner::State::answerBegan(RequestId request, AttemptId attempt)
 {
-    step([&](TimePoint, Effects &effects) { oriolelever::answerBegan(gate, request, attempt, effects); });
+    step([&](TimePoint, GateEffects &effects) { oriolelever::answerBegan(gate, request, attempt, effects); });
 }
 
 void RequestRunner::State::answerPart(RequestId request, AttemptId attempt, std::string part)
@@ -196,14 +196,14 @@
 
 void RequestRunner::State::answerEnded(RequestId request, AttemptId attempt)
 {
-    step([&](TimePoint now, Effects &effects) {
+    step([&](TimePoint now, GateEffects &effects) {
         oriolelever::answerEnded(gate, request, attempt, now, effects);
     });
 }
 
 void RequestRunner::State::attemptFailed(RequestId request, AttemptId attempt, AttemptFailure failure)
 {
-    step([&](TimePoint now, Effects &effects) {
+    step([&](TimePoint now, GateEffects &effects) {
         oriolelever::attemptFailed(gate, request, attempt, failure, now, effects);
     });
 }
--- a/src/request-state.h
+++ b/src/request-state.h
@@ -84,7 +84,7 @@
     template<typename Step>
     void step(Step &&decide)
     {
-        Effects effects;
+        GateEffects effects;
         decide(TimePoint::clock::now(), effects);
         for (const auto &effect : effects) {
             std::visit([this](const auto &known) { this->execute(known); }, effect);
--- a/src/request.cc
+++ b/src/request.cc
@@ -69,7 +69,7 @@
 
 // Cancels what still runs, settles the claim and ends the request.
 void finish(Gate &gate, RequestState &state, Code outcome, Reason reason, milliseconds retryAfter,
-            Effects &effects)
+            GateEffects &effects)
 {
     const auto id = state.facts.id;
     bool mayHaveRun = state.mayHaveRun || state.phase == Phase::HandedOver;
@@ -96,7 +96,7 @@
     effects.push_back(Finish{id, outcome, reason, retryAfter, relayed});
 }
 
-void refuse(Gate &gate, RequestState &state, Reason reason, Duration retryAfter, Effects &effects)
+void refuse(Gate &gate, RequestState &state, Reason reason, Duration retryAfter, GateEffects &effects)
 {
     finish(gate, state, Code::RefusedNotRun, reason, ceilMs(retryAfter), effects);
 }
@@ -113,7 +113,7 @@
     return now + gate.options.minHandover < state.facts.deadline;
 }
 
-void handOver(Gate &gate, RequestState &state, Duration maxWait, Effects &effects)
+void handOver(Gate &gate, RequestState &state, Duration maxWait, GateEffects &effects)
 {
     state.phase = Phase::HandedOver;
     state.handoverTried = true;
@@ -122,7 +122,7 @@
 }
 
 void handOverOrRefuse(Gate &gate, RequestState &state, Reason reason, Duration retryAfter, TimePoint now,
-                      Effects &effects)
+                      GateEffects &effects)
 {
     if (!canHandOver(gate, state, now)) {
         refuse(gate, state, reason, retryAfter, effects);
@@ -131,7 +131,7 @@
     handOver(gate, state, Duration::zero(), effects);
 }
 
-void startAttempt(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+void startAttempt(Gate &gate, RequestState &state, TimePoint now, GateEffects &effects)
 {
     if (state.started == 0) {
         earn(gate.budget);
@@ -145,7 +145,7 @@
 }
 
 // Gives up waiting requests that cannot be answered in time, as early as that is known.
-void giveUpLate(Gate &gate, TimePoint now, Effects &effects)
+void giveUpLate(Gate &gate, TimePoint now, GateEffects &effects)
 {
     for (const auto &waiting : removeLate(gate.queue, now + estimate(gate))) {
         auto *const state = find(gate, waiting.request);
@@ -156,7 +156,7 @@
     }
 }
 
-void startWaiting(Gate &gate, TimePoint now, Effects &effects)
+void startWaiting(Gate &gate, TimePoint now, GateEffects &effects)
 {
     giveUpLate(gate, now, effects);
     while (hasSlot(gate.limiter, now)) {
@@ -201,7 +201,7 @@
 }
 
 // Queues, hands over or refuses a request that may run.
-void place(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+void place(Gate &gate, RequestState &state, TimePoint now, GateEffects &effects)
 {
     const auto reason = reasonToTurnAway(gate, state, now);
     if (reason != Reason::None) {
@@ -239,7 +239,7 @@
     return now + estimate(gate) < state.facts.deadline && spend(gate.budget);
 }
 
-void retry(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+void retry(Gate &gate, RequestState &state, TimePoint now, GateEffects &effects)
 {
     ++gate.counters.retries;
     place(gate, state, now, effects);
@@ -260,7 +260,7 @@
     }
 }
 
-void failUnsent(Gate &gate, RequestState &state, AttemptFailure failure, TimePoint now, Effects &effects)
+void failUnsent(Gate &gate, RequestState &state, AttemptFailure failure, TimePoint now, GateEffects &effects)
 {
     const auto reason = failure == AttemptFailure::Shed ? Reason::ServerShed : Reason::ServerUnavailable;
     // A request that reached the server stays with this one answer unless it is idempotent.
@@ -278,7 +278,7 @@
     handOverOrRefuse(gate, state, reason, retryAfter, now, effects);
 }
 
-void failBroken(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+void failBroken(Gate &gate, RequestState &state, TimePoint now, GateEffects &effects)
 {
     ++gate.counters.brokenAnswers;
     if (state.facts.idempotent && mayRetry(gate, state, now)) {
@@ -288,7 +288,7 @@
     finish(gate, state, Code::OutcomeUnknown, Reason::AnswerBroken, milliseconds(0), effects);
 }
 
-void hedge(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+void hedge(Gate &gate, RequestState &state, TimePoint now, GateEffects &effects)
 {
     const bool single = state.phase == Phase::Running && state.attempts.size() == 1;
     if (!gate.options.retries || !state.facts.idempotent || !single || state.relayed != 0) {
@@ -305,7 +305,7 @@
     startAttempt(gate, state, now, effects);
 }
 
-void passDeadline(Gate &gate, RequestState &state, TimePoint now, Effects &effects)
+void passDeadline(Gate &gate, RequestState &state, TimePoint now, GateEffects &effects)
 {
     for (const auto &attempt : state.attempts) {
         effects.push_back(CancelAttempt{state.facts.id, attempt.id});
@@ -376,7 +376,7 @@
         + estimate(gate) * static_cast<Duration::rep>(before - limit + 1) / static_cast<Duration::rep>(limit);
 }
 
-void arrive(Gate &gate, const RequestFacts &facts, TimePoint now, Effects &effects)
+void arrive(Gate &gate, const RequestFacts &facts, TimePoint now, GateEffects &effects)
 {
     ++gate.counters.arrived;
     auto &state = gate.requests[facts.id];
@@ -390,7 +390,7 @@
 }
 
 void claimEnded(Gate &gate, RequestId request, ClaimVerdict verdict, milliseconds retryAfter, TimePoint now,
-                Effects &effects)
+                GateEffects &effects)
 {
     auto *const state = find(gate, request);
     if (state == nullptr) {
@@ -429,7 +429,7 @@
     }
 }
 
-void answerBegan(Gate &gate, RequestId request, AttemptId attempt, Effects &effects)
+void answerBegan(Gate &gate, RequestId request, AttemptId attempt, GateEffects &effects)
 {
     auto *const state = find(gate, request);
     if (state == nullptr || find(*state, attempt) == nullptr || state->relayed != 0) {
@@ -448,7 +448,7 @@
     effects.push_back(RelayAnswer{request, attempt});
 }
 
-void answerEnded(Gate &gate, RequestId request, AttemptId attempt, TimePoint now, Effects &effects)
+void answerEnded(Gate &gate, RequestId request, AttemptId attempt, TimePoint now, GateEffects &effects)
 {
     auto *const state = find(gate, request);
     const auto *const known = state == nullptr ? nullptr : find(*state, attempt);
@@ -467,7 +467,7 @@
 }
 
 void attemptFailed(Gate &gate, RequestId request, AttemptId attempt, AttemptFailure failure, TimePoint now,
-                   Effects &effects)
+                   GateEffects &effects)
 {
     auto *const state = find(gate, request);
     if (state == nullptr || !removeAttempt(*state, attempt)) {
@@ -487,7 +487,7 @@
 }
 
 void handoverEnded(Gate &gate, RequestId request, HandoverEnd end, milliseconds retryAfter, TimePoint now,
-                   Effects &effects)
+                   GateEffects &effects)
 {
     auto *const state = find(gate, request);
     if (state == nullptr || state->phase != Phase::HandedOver) {
@@ -514,7 +514,7 @@
     finish(gate, *state, Code::OutcomeUnknown, Reason::AnswerBroken, retryAfter, effects);
 }
 
-void callerGone(Gate &gate, RequestId request, TimePoint now, Effects &effects)
+void callerGone(Gate &gate, RequestId request, TimePoint now, GateEffects &effects)
 {
     auto *const state = find(gate, request);
     if (state == nullptr) {
@@ -524,7 +524,7 @@
     startWaiting(gate, now, effects);
 }
 
-void tick(Gate &gate, TimePoint now, Effects &effects)
+void tick(Gate &gate, TimePoint now, GateEffects &effects)
 {
     std::vector<RequestId> ids;
     for (const auto &[id, state] : gate.requests) {
--- a/test/request-test.cc
+++ b/test/request-test.cc
@@ -10,7 +10,7 @@
 const TimePoint start{1000s};
 
 template<typename T>
-std::vector<T> all(const Effects &effects)
+std::vector<T> all(const GateEffects &effects)
 {
     std::vector<T> found;
     for (const auto &effect : effects) {
@@ -29,16 +29,16 @@
 class GateTest : public testing::Test
 {
 protected:
-    Effects add(const RequestFacts &request, TimePoint now = start)
+    GateEffects add(const RequestFacts &request, TimePoint now = start)
     {
-        Effects effects;
+        GateEffects effects;
         arrive(m_gate, request, now, effects);
         return effects;
     }
 
-    Effects fail(const SendAttempt &sent, AttemptFailure failure, TimePoint now = start)
+    GateEffects fail(const SendAttempt &sent, AttemptFailure failure, TimePoint now = start)
     {
-        Effects effects;
+        GateEffects effects;
         attemptFailed(m_gate, sent.request, sent.attempt, failure, now, effects);
         return effects;
     }
@@ -58,7 +58,7 @@
 TEST_F(GateTest, AnswerIsRelayedAndEnds)
 {
     const auto sent = sendFirst(false);
-    Effects effects;
+    GateEffects effects;
     answerEnded(m_gate, 1, sent.attempt, start + 5ms, effects);
     ASSERT_EQ(all<RelayAnswer>(effects).size(), 1U);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Answered);
@@ -86,7 +86,7 @@
 {
     const auto sent = all<SendAttempt>(add(facts(1, false))).at(0);
     EXPECT_TRUE(all<Finish>(fail(sent, AttemptFailure::NotSent)).empty());
-    Effects effects;
+    GateEffects effects;
     tick(m_gate, start + 25ms, effects);
     EXPECT_EQ(all<SendAttempt>(effects).size(), 1U);
 }
@@ -102,7 +102,7 @@
 {
     sendFirst(false);
     add(facts(2, false));
-    Effects effects;
+    GateEffects effects;
     tick(m_gate, start + 2s, effects);
     const auto ends = all<Finish>(effects);
     ASSERT_EQ(ends.size(), 2U);
@@ -125,7 +125,7 @@
 TEST_F(GateTest, CallerThatHangsUpCancels)
 {
     sendFirst(false);
-    Effects effects;
+    GateEffects effects;
     callerGone(m_gate, 1, start, effects);
     EXPECT_EQ(all<CancelAttempt>(effects).size(), 1U);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Cancelled);
@@ -136,7 +136,7 @@
     const auto sent = sendFirst(false);
     beginDrain(m_gate);
     EXPECT_EQ(all<Finish>(add(facts(2, false))).at(0).reason, Reason::Draining);
-    Effects effects;
+    GateEffects effects;
     answerEnded(m_gate, 1, sent.attempt, start + 1ms, effects);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::Answered);
 }
@@ -146,7 +146,7 @@
     m_gate.peersAvailable = true;
     beginDrain(m_gate);
     EXPECT_EQ(all<HandOver>(add(facts(1, false))).size(), 1U);
-    Effects effects;
+    GateEffects effects;
     handoverEnded(m_gate, 1, HandoverEnd::RefusedNotRun, 10ms, start, effects);
     EXPECT_TRUE(all<HandOver>(effects).empty());
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::RefusedNotRun);
@@ -167,7 +167,7 @@
     strict.handedOver = true;
     strict.maxWait = 10ms;
     EXPECT_EQ(all<Finish>(add(strict)).at(0).outcome, Code::RefusedNotRun);
-    Effects effects;
+    GateEffects effects;
     handoverEnded(m_gate, 3, HandoverEnd::RefusedNotRun, 0ms, start, effects);
     EXPECT_TRUE(effects.empty());
     EXPECT_EQ(m_gate.requests.at(3).phase, Phase::Waiting);
@@ -178,7 +178,7 @@
     m_gate.peersAvailable = true;
     beginDrain(m_gate);
     add(facts(1, false));
-    Effects effects;
+    GateEffects effects;
     handoverEnded(m_gate, 1, HandoverEnd::Unknown, 0ms, start, effects);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::OutcomeUnknown);
 }
@@ -190,7 +190,7 @@
     const auto first = add(request);
     EXPECT_EQ(all<StartClaim>(first).size(), 1U);
     EXPECT_TRUE(all<SendAttempt>(first).empty());
-    Effects effects;
+    GateEffects effects;
     claimEnded(m_gate, 1, ClaimVerdict::Fresh, 0ms, start, effects);
     EXPECT_EQ(all<SendAttempt>(effects).size(), 1U);
 }
@@ -200,7 +200,7 @@
     auto request = facts(1, false);
     request.keyed = true;
     add(request);
-    Effects effects;
+    GateEffects effects;
     claimEnded(m_gate, 1, ClaimVerdict::NotProven, 700ms, start, effects);
     const auto end = all<Finish>(effects).at(0);
     EXPECT_EQ(end.outcome, Code::RefusedNotRun);
@@ -212,7 +212,7 @@
     auto request = facts(1, false);
     request.keyed = true;
     add(request);
-    Effects effects;
+    GateEffects effects;
     claimEnded(m_gate, 1, ClaimVerdict::Fresh, 0ms, start + 2s, effects);
     EXPECT_EQ(all<Finish>(effects).at(0).outcome, Code::RefusedNotRun);
     EXPECT_EQ(all<SettleClaim>(effects).at(0).end, ClaimEnd::Released);
@@ -222,7 +222,7 @@
 {
     m_gate.limiter.limit = 2.0;
     const auto sent = sendFirst(true);
-    Effects effects;
+    GateEffects effects;
     tick(m_gate, start + 50ms, effects);
     const auto hedge = all<SendAttempt>(effects).at(0);
     effects.clear();
@@ -237,7 +237,7 @@
     m_gate.limiter.limit = 2.0;
     sendFirst(true);
     m_gate.budget.tokens = 0;
-    Effects effects;
+    GateEffects effects;
     tick(m_gate, start + 50ms, effects);
     EXPECT_TRUE(all<SendAttempt>(effects).empty());
 }
@@ -245,7 +245,7 @@
 TEST_F(GateTest, LateAnswerIsDroppedAndCounted)
 {
     const auto sent = sendFirst(false);
-    Effects effects;
+    GateEffects effects;
     tick(m_gate, start + 2s, effects);
     effects.clear();
     answerEnded(m_gate, 1, sent.attempt, start + 3s, effects);
@@ -256,7 +256,7 @@
 TEST_F(GateTest, BrokenAfterRelayIsNotSentAgain)
 {
     const auto sent = sendFirst(true);
-    Effects effects;
+    GateEffects effects;
     answerBegan(m_gate, 1, sent.attempt, effects);
     effects = fail(sent, AttemptFailure::Broken);
     EXPECT_TRUE(all<SendAttempt>(effects).empty());
