--- a/test/path-deployment.h
+++ b/test/path-deployment.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "fabric.h"
@@ -276,6 +277,24 @@
         for (const auto &fault : m_fabric->figures().faults) {
             text += fault + "\n";
         }
+        if (text.empty()) {
+            return text;
+        }
+        for (const auto &server : m_servers) {
+            text += server.name + ":";
+            if (server.agent) {
+                server.agent->counters().forEach(
+                    [&](std::string_view kind, std::string_view name, std::uint64_t value) {
+                        if (value != 0) {
+                            text += fmt::format(" {}/{}={}", kind, name, value);
+                        }
+                    });
+                const auto figures = server.agent->figures();
+                text += fmt::format(" owned={} granted={} flows={}", figures.ownedBuckets,
+                                    figures.grantedBuckets, figures.knownFlows);
+            }
+            text += "\n";
+        }
         return text;
     }
 
