--- a/lab/world-nodes.cc
+++ b/lab/world-nodes.cc
@@ -151,7 +151,7 @@
                                    .incarnation = host.agentLife,
                                    .seed = world.trace.seed,
                                    .serverLivedOn = warm,
-                                   .warm = warm};
+                                   .warm = world.now <= TimePoint{} + std::chrono::microseconds(1)};
     host.directory = makeDirectory(options, world.now);
     host.held.clear();
 }
@@ -276,6 +276,7 @@
 
 void announceDown(World &world, LabHost &host)
 {
+    host.foundDeadAt = world.now;
     auto record = announcementOf(host, NodeState::Down);
     ++record.version.sequence;
     publish(world, record);
