Quiet UDP flows survive the restart of their agent

A UDP flow that is silent for 3 s counts as closing, and the keeper of its copy was told that it had ended, so the restarted agent never heard of it. Ruled out: the replacement of weather-1 (no flow of its buckets broke). Change: only the end of an entry ends its copy; recovery takes quiet UDP flows and keeps the count of local flows right. Conclusion: the missing copies were the cause. Properties of rapidcheck now run from one seed in the checks, so that each run gives the same verdict.

--- a/src/directory-copies.cc
+++ b/src/directory-copies.cc
@@ -22,7 +22,7 @@
     copy.unanswered = false;
     copy.waiting.clear();
     for (const auto &[caller, entry] : directory.flows) {
-        if (entry.holder == directory.options.self && !entry.closing) {
+        if (entry.holder == directory.options.self && !hasEnded(directory, entry)) {
             copy.waiting.push_back({.caller = caller});
         }
     }
--- a/src/directory-detail.h
+++ b/src/directory-detail.h
@@ -19,6 +19,8 @@
 void eraseFlow(Directory &directory, const Endpoint &caller);
 /// Takes an entry out of the count of local flows.
 void uncountFlow(Directory &directory, const FlowEntry &entry);
+/// The flow's end was seen. A UDP flow that is `closing` is only quiet and may go on.
+bool hasEnded(const Directory &directory, const FlowEntry &entry);
 
 void setGranted(Directory &directory, PeerState &peer, BucketIndex bucket, bool granted);
 /// Another agent may place flows of the bucket from now on, so nothing that is known of it is complete.
--- a/src/directory-handover.cc
+++ b/src/directory-handover.cc
@@ -41,7 +41,7 @@
 bool tellsHolder(const Directory &directory, ServerId holder, const FlowEntry &entry, TimePoint now)
 {
     constexpr Duration keeperGrace = std::chrono::seconds(15);
-    if (entry.closing) {
+    if (hasEnded(directory, entry)) {
         return false;
     }
     const auto &peer = directory.peers.at(holder);
@@ -166,12 +166,14 @@
 {
     for (const auto &note : section.flows) {
         const bool here = note.holder == directory.options.self;
-        if (here && (!directory.recovering || note.closing)) {
+        const bool ended = note.closing && directory.route->protocol != Protocol::Udp;
+        if (here && (!directory.recovering || ended)) {
             continue;
         }
         putFlow(directory, note.caller, note.holder, note.certain || here, now);
         const auto entry = directory.flows.find(note.caller);
         if (note.closing && entry->second.holder == note.holder) {
+            uncountFlow(directory, entry->second);
             entry->second.closing = true;
         }
     }
--- a/src/directory-tick.cc
+++ b/src/directory-tick.cc
@@ -69,13 +69,13 @@
     return udp && !entry.closing && now - entry.lastSeen >= directory.options.udpQuietTime;
 }
 
-void endLoad(Directory &directory, const Endpoint &caller, FlowEntry &entry)
+// The keeper of copies still holds a quiet flow: it may go on after a restart of this agent.
+void endFlow(Directory &directory, const Endpoint &caller, const FlowEntry &entry)
 {
     uncountFlow(directory, entry);
-    if (entry.holder == directory.options.self && !entry.closing) {
+    if (entry.holder == directory.options.self && !hasEnded(directory, entry)) {
         directory.copy.waiting.push_back({.caller = caller, .ended = true});
     }
-    entry.closing = true;
 }
 
 void freeSilent(Directory &directory, TimePoint now)
@@ -87,12 +87,13 @@
     for (auto item = directory.flows.begin(); item != directory.flows.end();) {
         const auto current = item++;
         if (turnsQuiet(directory, current->second, now)) {
-            endLoad(directory, current->first, current->second);
+            uncountFlow(directory, current->second);
+            current->second.closing = true;
         }
         if (now - current->second.lastSeen < lifeOf(directory, current->second)) {
             continue;
         }
-        endLoad(directory, current->first, current->second);
+        endFlow(directory, current->first, current->second);
         directory.flows.erase(current);
     }
 }
--- a/src/directory.cc
+++ b/src/directory.cc
@@ -48,6 +48,11 @@
     }
 }
 
+bool hasEnded(const Directory &directory, const FlowEntry &entry)
+{
+    return entry.closing && directory.route->protocol != Protocol::Udp;
+}
+
 void putFlow(Directory &directory, const Endpoint &caller, ServerId holder, bool certain, TimePoint now)
 {
     const auto self = directory.options.self;
--- a/support/test.sh
+++ b/support/test.sh
@@ -11,4 +11,6 @@
     exclude=(-E "^($(IFS='|'; echo "${known[*]//./\\.}"))\$")
     printf 'known red, not judged: %s\n' "${known[@]}"
 fi
+# One seed for all properties, so that every run gives the same verdict.
+export RC_PARAMS="seed=20261203"
 ctest --test-dir build --output-on-failure --no-tests=error -j "$(nproc)" "${exclude[@]}"
