--- a/src/http2.cc
+++ b/src/http2.cc
@@ -64,7 +64,7 @@
 
 StreamId Http2Session::submitRequest(const std::string &path, std::string body)
 {
-    // After the peer's goodbye nghttp2 would take the request and never send it.
+    // After the peer's GOAWAY nghttp2 would take the request and never send it.
     if (nghttp2_session_check_request_allowed(m_session) == 0) {
         return NGHTTP2_ERR_START_STREAM_NOT_ALLOWED;
     }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -38,7 +38,6 @@
          0, \
          "NAME:ROLE:HASH of operators who may ask, separated by commas; empty lets all"}, \
         {"process", "drain_ms", SettingType::Time, false, "30000", 0, 3'600'000, "longest graceful shutdown"}, \
-        {"process", "record", SettingType::Text, false, "", 0, 0, "file that a trace is recorded to"}, \
         {"control", "listen", SettingType::Address, true, "", 0, 0, "streams of other processes"}, \
         {"control", "seeds", SettingType::AddressList, false, "", 0, 0, "processes to join through"}, \
         {"control", "key", SettingType::Text, false, "", 0, 0, "shared secret for packet tags, hexadecimal"}, \
