--- a/test/replay-test.cc
+++ b/test/replay-test.cc
@@ -114,7 +114,7 @@
 // Sweeps replay a trace from memory, which kept times that the file rounds.
 TEST_F(ReplayTest, WrittenTraceGivesTheSameFigures)
 {
-    const auto trace = makeCase({.caseName = "zone", .deployment = "swn"});
+    const auto trace = makeCase({.caseName = "uneven", .deployment = "bellandi", .seed = 15});
     std::ofstream(m_file) << writeTrace(trace);
     const auto read = handleError([&] { return readTrace(m_file); },
                                   [](const Error &error) {
