--- a/include/oriolelever/node.h
+++ b/include/oriolelever/node.h
@@ -41,8 +41,6 @@
     void setState(NodeState state);
 
 private:
-    void announce(NodeState state);
-
     Announcement m_announcement;
     Kernel *m_kernel = nullptr;
     bool m_leaving = false;
--- a/lab/summary.cc
+++ b/lab/summary.cc
@@ -87,6 +87,24 @@
     return last;
 }
 
+// Visits each server of a zone that was taken out, with the time of the order and of its end.
+template<typename Visit>
+void forEachServerOut(const RunReport &run, Visit visit)
+{
+    for (std::size_t index = 0; index < run.marks.size(); ++index) {
+        const auto &mark = run.marks[index];
+        if (mark.kind != MarkKind::ZoneOut) {
+            continue;
+        }
+        const auto end = orderEnd(run, index);
+        for (const auto &server : run.servers) {
+            if (server.zone == mark.name) {
+                visit(server, mark.at, end);
+            }
+        }
+    }
+}
+
 struct Phase
 {
     WallTime from;
@@ -258,42 +276,22 @@
 std::uint64_t packetsAfterZoneLeft(const RunReport &run)
 {
     std::uint64_t packets = 0;
-    for (std::size_t index = 0; index < run.marks.size(); ++index) {
-        const auto &mark = run.marks[index];
-        if (mark.kind != MarkKind::ZoneOut) {
-            continue;
-        }
-        const auto end = orderEnd(run, index);
-        for (const auto &server : run.servers) {
-            if (server.zone != mark.name) {
-                continue;
-            }
-            for (const auto &slot : server.slots) {
-                packets += slot.at >= mark.at + inForceLimit && slot.at < end ? slot.packets : 0;
-            }
+    forEachServerOut(run, [&](const ServerReport &server, WallTime order, WallTime end) {
+        for (const auto &slot : server.slots) {
+            packets += slot.at >= order + inForceLimit && slot.at < end ? slot.packets : 0;
         }
-    }
+    });
     return packets;
 }
 
 std::chrono::milliseconds zoneOutInForce(const RunReport &run)
 {
     std::chrono::milliseconds longest{0};
-    for (std::size_t index = 0; index < run.marks.size(); ++index) {
-        const auto &mark = run.marks[index];
-        if (mark.kind != MarkKind::ZoneOut) {
-            continue;
-        }
-        const auto end = orderEnd(run, index);
-        for (const auto &server : run.servers) {
-            if (server.zone != mark.name) {
-                continue;
-            }
-            const auto last
-                = lastSlotWith(server, mark.at, end, [](const ServerSlot &slot) { return slot.packets; });
-            longest = std::max(longest, last - mark.at);
-        }
-    }
+    forEachServerOut(run, [&](const ServerReport &server, WallTime order, WallTime end) {
+        const auto last
+            = lastSlotWith(server, order, end, [](const ServerSlot &slot) { return slot.packets; });
+        longest = std::max(longest, last - order);
+    });
     return longest;
 }
 
--- a/src/node.cc
+++ b/src/node.cc
@@ -74,11 +74,6 @@
 }
 
 void Node::setState(NodeState state)
-{
-    announce(state);
-}
-
-void Node::announce(NodeState state)
 {
     const auto next = announceNext(m_announcement, m_leaving, state);
     if (!next) {
@@ -90,7 +85,7 @@
 
 void Node::beginDrain()
 {
-    announce(NodeState::Draining);
+    setState(NodeState::Draining);
     m_leaving = true;
 }
 
