--- a/include/oriolelever/log.h
+++ b/include/oriolelever/log.h
@@ -11,6 +11,11 @@
 
 enum class LogLevel { Debug, Info, Warn, Error };
 
+/// Takes the messages of every part.
+using LogSink = void (*)(LogLevel level, const std::string &part, const std::string &text);
+/// Messages before the first sink are lost.
+void setLogSink(LogSink sink);
+
 /// Sets up logging to standard error; call once per process, before the first message.
 void initLogging(LogLevel level);
 /// Parses "debug", "info", "warn" or "error".
--- /dev/null
+++ b/include/oriolelever/peer-message.h
@@ -0,0 +1,97 @@
+/// Datagrams between balancers and agents on a platform whose backend servers judge their own flows.
+///
+/// Each starts with a header of `peerHeaderSize` bytes: version, type, reason, flags, and a number whose
+/// meaning the type gives. `Relay` and `Return` carry a whole packet behind it.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "oriolelever/types.h"
+
+namespace oriolelever {
+
+enum class PeerMessageType : std::uint8_t {
+    Relay = 1, ///< Balancer to agent: a caller's packet; the number is the service meant.
+    Return = 2, ///< Agent to balancer: a packet that the server does not take.
+    Hello = 3, ///< Balancer to agent: asks for reports.
+    Report = 4, ///< Agent to balancer: state and load of the server.
+};
+
+/// Why an agent gives a packet back.
+enum class ReturnReason : std::uint8_t {
+    NotHeld = 1, ///< The server says that it does not hold the flow.
+    Full = 2, ///< The server does not accept another flow.
+    OtherService = 3, ///< The server belongs to another service.
+    NotReady = 4, ///< The server is unknown so far, draining, gone or does not answer.
+    Cold = 5, ///< The server has had as many flows in this second as a cold server bears.
+};
+
+std::string_view toString(ReturnReason reason);
+
+enum class BackendState : std::uint8_t {
+    Unknown = 0, ///< The agent has heard nothing of its server yet.
+    Ready = 1,
+    Draining = 2, ///< Keeps its flows and takes no new ones.
+    Gone = 3, ///< Has left for good.
+    Silent = 4, ///< Does not answer.
+};
+
+std::string_view toString(BackendState state);
+
+/// What a balancer tells an agent.
+struct Hello
+{
+    std::uint64_t lifetime = 0; ///< Differs for each start of the balancer.
+    std::uint32_t coldFlowsPerSecond = 0; ///< New flows a second that the agent's server bears while cold.
+    std::chrono::milliseconds idleLimit{0}; ///< Silent flows may be forgotten after it; 0 if unknown.
+    bool unlisted = false; ///< The agent's entry in the platform's store is missing.
+    std::vector<IpAddress> balancers; ///< Other live balancers, IPv4 only.
+
+    bool operator==(const Hello &) const = default;
+};
+
+/// What an agent tells a balancer of itself and its server.
+struct Report
+{
+    std::uint64_t lifetime = 0; ///< Differs for each start of the agent.
+    ServiceId service;
+    ZoneId zone;
+    BackendState state = BackendState::Unknown;
+    std::uint16_t slots = 1; ///< Requests that the server runs at once.
+    std::uint32_t flows = 0; ///< Open flows.
+    std::uint32_t waiting = 0; ///< Flows with a request that has no answer yet.
+    std::chrono::milliseconds coldLeft{0};
+    std::uint64_t bornAt = 0; ///< Start of the server, Unix milliseconds; 0 if unknown.
+
+    bool operator==(const Report &) const = default;
+};
+
+constexpr std::size_t peerHeaderSize = 12; ///< Bytes.
+constexpr std::size_t maxHelloPeers = 16;
+constexpr std::size_t maxPeerMessageSize = 160; ///< Bytes of the largest Hello or Report.
+
+/// The header of any message.
+struct PeerHeader
+{
+    PeerMessageType type = PeerMessageType::Relay;
+    ReturnReason reason = ReturnReason::NotHeld; ///< Only of `Return`.
+    std::uint64_t number = 0;
+};
+
+/// False if `bytes` is too short, of another version or of an unknown type.
+bool decodePeerHeader(std::span<const std::uint8_t> bytes, PeerHeader &out);
+/// Writes `peerHeaderSize` bytes.
+void encodePeerHeader(std::span<std::uint8_t> out, const PeerHeader &header);
+
+/// Both return the size; `out` must hold `maxPeerMessageSize` bytes. Of the balancers the first
+/// `maxHelloPeers` fit.
+std::size_t encodeHello(std::span<std::uint8_t> out, const Hello &hello);
+std::size_t encodeReport(std::span<std::uint8_t> out, const Report &report);
+/// Both return false if the message is cut or holds an impossible value.
+bool decodeHello(std::span<const std::uint8_t> bytes, Hello &out);
+bool decodeReport(std::span<const std::uint8_t> bytes, Report &out);
+
+} // namespace oriolelever
--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "oriolelever/codes.h"
+#include "oriolelever/http-client.h"
 #include "oriolelever/kernel.h"
 #include "oriolelever/settings.h"
 #include "oriolelever/types.h"
@@ -120,6 +121,12 @@
 
     virtual void list(std::string kind, Done<ObjectList> done) = 0;
 
+    /// The same from a copy that may be seconds old, where the platform has one; it is cheaper.
+    virtual void listStale(std::string kind, Done<ObjectList> done)
+    {
+        list(std::move(kind), std::move(done));
+    }
+
     /// Writes `object.value` if the stored version is `object.version`; 0 creates. `change` identifies this
     /// write and is appended to the object's `changes`. Answers with the object as stored.
     virtual void write(Object object, std::string change, Done<Object> done) = 0;
@@ -182,20 +189,6 @@
 void noteFailure(Backoff &backoff, TimePoint now, double unit);
 void noteSuccess(Backoff &backoff);
 
-enum class TransferState {
-    Complete, ///< A whole HTTP answer arrived.
-    NotSent, ///< No connection; the platform saw nothing.
-    Lost, ///< The call may have reached the platform.
-};
-
-/// What came of one HTTP call.
-struct HttpAnswer
-{
-    TransferState state = TransferState::Complete;
-    int status = 0;
-    std::string body;
-};
-
 enum class CallKind { Read, Write };
 
 /// Error of an HTTP answer, `Code::Ok` for success. `subject` names the object, such as `zone "bergamo"`.
--- /dev/null
+++ b/include/oriolelever/steering.h
@@ -0,0 +1,132 @@
+/// What a balancer does with each packet of a caller where backend servers judge their own flows.
+///
+/// The balancer remembers which agent a flow's packets go to. That memory is a cache: when it is lost or
+/// wrong, the packet is offered to the agents in turn until one keeps it. The functions are pure: time is an
+/// argument.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "oriolelever/peer-message.h"
+#include "oriolelever/routing-table.h"
+#include "oriolelever/segment.h"
+
+namespace oriolelever {
+
+/// Thresholds of the steering functions.
+struct SteeringOptions
+{
+    ZoneId zone; ///< Availability zone of the balancer and of its callers.
+    std::chrono::milliseconds silentAfter{700}; ///< Three and a half report periods without a report.
+    std::chrono::milliseconds lostAfter{
+        3000}; ///< A silent agent no longer keeps an unknown flow from being reset.
+    std::chrono::milliseconds searchPause{150}; ///< Shorter than a caller's first retransmission, 200 ms.
+    std::chrono::milliseconds openingLimit{1500}; ///< Callers give up opening a flow after 1.4 s.
+    std::chrono::milliseconds defaultIdleLimit{30'000}; ///< Where the configuration names none.
+    double zoneMargin = 1.25; ///< Load relative to the best server up to which the own zone is preferred.
+    double zoneSlack = 1.0; ///< Flows per slot that are added to that load.
+    double waitingWeight = 2.0; ///< Load of a running request relative to an open flow.
+    double coldWeight = 2.0; ///< Load of a flow on a cold server relative to a warm one.
+};
+
+/// An agent and its backend server as a balancer knows them.
+struct Backend
+{
+    IpAddress host;
+    Report report;
+    TimePoint reported{}; ///< When `report` came; never if zero.
+    TimePoint introduced{}; ///< When the agent became known.
+    std::uint32_t placed = 0; ///< Flows placed there by this balancer since `report`.
+    bool listed = false; ///< Has an entry in the platform's store.
+};
+
+using BackendIndex = std::uint16_t;
+constexpr BackendIndex noBackend = UINT16_MAX;
+
+/// A flow in the balancer's cache.
+struct SteeredFlow
+{
+    BackendIndex holder = noBackend; ///< Where its packets go.
+    bool idempotent = false;
+    TimePoint lastPacket{};
+    TimePoint opened{}; ///< First opening packet; zero if the flow was found by a search.
+    TimePoint exhausted{}; ///< When the last search ended without a holder.
+    std::vector<BackendIndex> tried; ///< Agents that gave back a packet of it.
+};
+
+enum class SteeringAct : std::uint8_t { Forward, Reset, Drop };
+
+enum class SteeringCause : std::uint8_t {
+    Known, ///< The cache has the flow's holder.
+    Placed, ///< A new flow.
+    Moved, ///< A new flow that another server did not take.
+    Searching, ///< The holder is not known; the next agent is asked.
+    NotReady, ///< No configuration yet.
+    NoRoute, ///< The configuration has no such address.
+    NoServer, ///< No server of the service takes a flow.
+    NotHeld, ///< No server holds the flow.
+    Undecided, ///< Nobody holds the flow, but an agent could not be asked.
+    NotFromCaller, ///< A packet that callers do not send.
+};
+
+constexpr std::size_t steeringCauseCount = static_cast<std::size_t>(SteeringCause::NotFromCaller) + 1;
+std::string_view toString(SteeringCause cause);
+
+struct SteeringDecision
+{
+    SteeringAct act = SteeringAct::Drop;
+    SteeringCause cause = SteeringCause::NotReady;
+    BackendIndex backend = noBackend; ///< Of `Forward`.
+    ServiceId service; ///< Service meant by an opening packet.
+};
+
+struct SteeringState
+{
+    SteeringOptions options;
+    RoutingTable table;
+    bool configured = false; ///< `table` was read.
+    std::unordered_set<ZoneId> evacuated; ///< Zones whose servers get no new flows.
+    std::vector<Backend> backends;
+    std::unordered_map<IpAddress, BackendIndex, AddressHash> byHost;
+    std::unordered_map<FlowKey, SteeredFlow> flows;
+    std::uint32_t turn = 0; ///< Varies choices between equals.
+};
+
+/// The agent on `host`, made known if it was not.
+BackendIndex backendOn(SteeringState &state, const IpAddress &host, TimePoint now);
+
+/// Takes what an agent says of itself.
+void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now);
+
+/// Puts a configuration in force; false if it is older than the one in force.
+bool takeTable(SteeringState &state, RoutingTable table);
+
+/// Whether the agent was heard lately.
+bool isHeard(const SteeringState &state, const Backend &backend, TimePoint now);
+
+/// Whether new flows of `service` may go to the server.
+bool takesFlows(const SteeringState &state, const Backend &backend, ServiceId service, TimePoint now);
+
+/// Load per slot as this balancer sees it.
+double loadOf(const SteeringOptions &options, const Backend &backend);
+
+/// The server for a new flow of `service`, `noBackend` if none takes it. Answers the ordinary load and
+/// bursts: the least loaded server, one of the balancer's own zone if it is nearly as good.
+BackendIndex chooseBackend(const SteeringState &state, ServiceId service,
+                           const std::vector<BackendIndex> &tried, TimePoint now);
+
+/// Decides about a packet that came from a caller.
+SteeringDecision steerCallerPacket(SteeringState &state, const Segment &segment, TimePoint now);
+
+/// Decides about a packet that the agent `from` gave back.
+SteeringDecision steerReturned(SteeringState &state, const Segment &segment, BackendIndex from,
+                               ReturnReason reason, TimePoint now);
+
+/// Forgets flows that were silent for longer than callers and servers keep them.
+void expireFlows(SteeringState &state, TimePoint now);
+
+} // namespace oriolelever
--- a/include/oriolelever/types.h
+++ b/include/oriolelever/types.h
@@ -68,6 +68,11 @@
     bool isV4() const;
 };
 
+struct AddressHash
+{
+    std::size_t operator()(const IpAddress &address) const noexcept;
+};
+
 /// An address and a port; port 0 means none.
 struct Endpoint
 {
--- /dev/null
+++ b/src/event-log.cc
@@ -0,0 +1,125 @@
+#include "oriolelever/event-log.h"
+
+#include <algorithm>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::size_t atomicPipeWrite
+    = 4096; ///< Bytes that a writable pipe takes without blocking, POSIX PIPE_BUF.
+
+std::int64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+std::size_t writeStandardOutput(const char *bytes, std::size_t size)
+{
+    pollfd ready{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+        return 0;
+    }
+    const auto written = ::write(STDOUT_FILENO, bytes, std::min(size, atomicPipeWrite));
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
+std::string flowText(const Endpoint &caller, const Endpoint &service)
+{
+    return fmt::format("{}>{}", toString(caller), toString(service));
+}
+
+EventLog::EventLog(EventLogOptions options)
+    : EventLog(std::move(options), writeStandardOutput, wallMilliseconds)
+{
+}
+
+EventLog::EventLog(EventLogOptions options, Sink sink, WallClock wallClock)
+    : m_options(std::move(options))
+    , m_sink(std::move(sink))
+    , m_wallClock(std::move(wallClock))
+{
+}
+
+bool EventLog::begin(TimePoint now, std::string_view event)
+{
+    auto &budget = m_budgets[event];
+    if (budget.second == TimePoint{} || now - budget.second >= std::chrono::seconds(1)) {
+        budget.second = now;
+        budget.lines = 0;
+    }
+    if (budget.lines >= m_options.linesPerSecond || m_buffer.size() >= m_options.bufferBytes) {
+        ++budget.leftOut;
+        ++m_suppressed;
+        return false;
+    }
+    ++budget.lines;
+    startLine(now, event);
+    return true;
+}
+
+void EventLog::startLine(TimePoint now, std::string_view event)
+{
+    const auto steady = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
+    fmt::format_to(std::back_inserter(m_buffer),
+                   R"({{"at":{},"steady_us":{},"node":"{}","lifetime":{},"event":"{}")", m_wallClock(),
+                   steady.count(), m_options.node, m_options.lifetime, event);
+}
+
+void EventLog::end()
+{
+    constexpr std::string_view closing = "}\n";
+    m_buffer.append(closing.data(), closing.data() + closing.size());
+}
+
+void EventLog::appendValue(std::string_view text)
+{
+    m_buffer.push_back('"');
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            m_buffer.push_back('\\');
+            m_buffer.push_back(c);
+        } else if (byte < 0x20 || byte >= 0x7f) {
+            fmt::format_to(std::back_inserter(m_buffer), "\\u{:04x}", byte);
+        } else {
+            m_buffer.push_back(c);
+        }
+    }
+    m_buffer.push_back('"');
+}
+
+void EventLog::flush(TimePoint now)
+{
+    for (auto &[event, budget] : m_budgets) {
+        if (budget.leftOut == 0 || now - budget.second < std::chrono::seconds(1)
+            || m_buffer.size() >= m_options.bufferBytes) {
+            continue;
+        }
+        startLine(now, "suppressed");
+        append("of", event, "lines", budget.leftOut);
+        end();
+        budget.leftOut = 0;
+    }
+    std::size_t taken = 0;
+    while (taken < m_buffer.size()) {
+        const auto written = m_sink(m_buffer.data() + taken, m_buffer.size() - taken);
+        if (written == 0) {
+            break;
+        }
+        taken += written;
+    }
+    if (taken == 0) {
+        return;
+    }
+    std::copy(m_buffer.begin() + static_cast<std::ptrdiff_t>(taken), m_buffer.end(), m_buffer.begin());
+    m_buffer.resize(m_buffer.size() - taken);
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/src/gate-node.cc
@@ -0,0 +1,379 @@
+#include "oriolelever/gate-node.h"
+
+#include <algorithm>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+#include "oriolelever/bytes.h"
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::chrono::seconds expiryPeriod{5};
+constexpr std::size_t ipv4Offset = 12; ///< Of the IPv4 bytes in a mapped address.
+
+TimePoint steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::uint32_t markOf(const IpAddress &address)
+{
+    return read32(address.bytes.data() + ipv4Offset);
+}
+
+IpAddress addressOf(std::uint32_t mark)
+{
+    IpAddress address;
+    address.bytes[10] = 0xff;
+    address.bytes[11] = 0xff;
+    write32(address.bytes.data() + ipv4Offset, mark);
+    return address;
+}
+
+} // namespace
+
+struct GateNode::Counters
+{
+    explicit Counters(prometheus::Registry &registry)
+        : family(prometheus::BuildCounter()
+                     .Name("oriolelever_gate_packets_total")
+                     .Help("Packets at the backend server's gate by outcome")
+                     .Register(registry))
+        , delivered(family.Add({{"outcome", "delivered"}}))
+        , answered(family.Add({{"outcome", "answered"}}))
+        , returned(family.Add({{"outcome", "returned"}}))
+        , dropped(family.Add({{"outcome", "dropped"}}))
+        , malformed(family.Add({{"outcome", "malformed"}}))
+        , flows(prometheus::BuildGauge()
+                    .Name("oriolelever_server_flows")
+                    .Help("Open flows of the backend server")
+                    .Register(registry)
+                    .Add({}))
+        , waiting(prometheus::BuildGauge()
+                      .Name("oriolelever_server_waiting")
+                      .Help("Flows with a request that has no answer yet")
+                      .Register(registry)
+                      .Add({}))
+    {
+    }
+
+    prometheus::Family<prometheus::Counter> &family;
+    prometheus::Counter &delivered;
+    prometheus::Counter &answered;
+    prometheus::Counter &returned;
+    prometheus::Counter &dropped;
+    prometheus::Counter &malformed;
+    prometheus::Gauge &flows;
+    prometheus::Gauge &waiting;
+};
+
+// One connection to the backend server that is closed as soon as it is accepted or refused.
+class GateNode::Probe
+{
+public:
+    explicit Probe(asio::io_context &context)
+        : socket(context)
+        , timer(context)
+    {
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    bool timedOut = false;
+};
+
+GateNode::GateNode(asio::io_context &context, GateNodeOptions options, EventLog &log, Metrics &metrics)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_log(log)
+    , m_relay(context)
+    , m_outbound(context)
+    , m_timer(context)
+    , m_counters(std::make_unique<Counters>(metrics.registry()))
+{
+    m_state.options = m_options.gate;
+}
+
+GateNode::~GateNode() = default;
+
+Result<void> GateNode::start(Kernel &)
+{
+    return open();
+}
+
+Result<void> GateNode::open()
+{
+    const auto now = steadyNow();
+    m_state.started = now;
+    BOOST_LEAF_CHECK(
+        m_relay.open(m_options.relay, [this](std::span<std::uint8_t> bytes, const Endpoint &from) {
+            onRelayed(bytes, from);
+        }));
+    BOOST_LEAF_CHECK(
+        m_outbound.open(m_options.outbound,
+                        [this](std::span<std::uint8_t> bytes, const Endpoint &) { onServerPacket(bytes); }));
+    m_relay.afterBatch = [this] {
+        m_now = {};
+    };
+    m_outbound.afterBatch = [this] {
+        m_now = {};
+    };
+    m_log.write(now, "started", "role", "agent", "relay", toString(m_options.relay), "server",
+                toString(m_options.server));
+    scheduleTick();
+    return {};
+}
+
+void GateNode::stop()
+{
+    m_log.write(steadyNow(), "stopped", "role", "agent", "server_state", toString(m_state.server), "flows",
+                m_state.flows.size());
+    m_log.flush(steadyNow());
+    m_timer.cancel();
+    m_relay.close();
+    m_outbound.close();
+}
+
+void GateNode::onRelayed(std::span<std::uint8_t> bytes, const Endpoint &from)
+{
+    if (m_now == TimePoint{}) {
+        m_now = steadyNow();
+    }
+    PeerHeader header;
+    Segment segment;
+    if (!decodePeerHeader(bytes, header)) {
+        m_counters->malformed.Increment();
+        m_log.write(m_now, "datagram_malformed", "port", "relay", "from", toString(from), "size",
+                    bytes.size());
+        return;
+    }
+    if (header.type == PeerMessageType::Hello) {
+        onHello(bytes, from);
+        return;
+    }
+    const auto packet = bytes.subspan(peerHeaderSize);
+    if (header.type != PeerMessageType::Relay || !m_options.format.parse(packet, segment)) {
+        m_counters->malformed.Increment();
+        return;
+    }
+    const auto decision = admit(m_state, segment, ServiceId{header.number}, m_now);
+    switch (decision.act) {
+    case GateAct::Deliver:
+        m_counters->delivered.Increment();
+        m_options.format.setMark(packet, markOf(from.address));
+        m_relay.send(packet, m_options.server);
+        if (segment.opens()) {
+            m_log.write(m_now, "flow_delivered", "flow", flowText(segment.source, segment.destination),
+                        "balancer", toString(from.address), "flows", m_state.flows.size(), "waiting",
+                        m_state.waiting, "heartbeat_age_ms", m_now - m_state.heard);
+        }
+        return;
+    case GateAct::Return:
+        giveBack(packet, from.address, decision.reason);
+        m_log.write(m_now, "packet_returned", "flow", flowText(segment.source, segment.destination), "reason",
+                    toString(decision.reason), "server_state", toString(m_state.server), "opening",
+                    segment.opens());
+        return;
+    case GateAct::Drop:
+        m_counters->dropped.Increment();
+        return;
+    }
+}
+
+void GateNode::giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason)
+{
+    m_counters->returned.Increment();
+    const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
+    encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason});
+    m_relay.send(message, {balancer, m_options.balancerPort});
+}
+
+void GateNode::onHello(std::span<std::uint8_t> bytes, const Endpoint &from)
+{
+    Hello hello;
+    if (!decodeHello(bytes, hello)) {
+        m_counters->malformed.Increment();
+        return;
+    }
+    auto &balancer = m_balancers[from.address];
+    const bool isNew = balancer.lifetime != hello.lifetime;
+    balancer = {.lifetime = hello.lifetime, .heard = m_now};
+    m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
+    m_state.idleLimit = hello.idleLimit;
+    if (isNew) {
+        m_log.write(m_now, "balancer_heard", "balancer", toString(from.address), "balancer_lifetime",
+                    hello.lifetime);
+        std::array<std::uint8_t, maxPeerMessageSize> report{};
+        const auto size = encodeReport(report, reportOf(m_state, m_options.lifetime, m_now));
+        m_relay.sendCopy({report.data(), size}, {from.address, m_options.balancerPort});
+    }
+    if (hello.unlisted && unlisted) {
+        unlisted();
+    }
+}
+
+void GateNode::onServerPacket(std::span<std::uint8_t> bytes)
+{
+    if (m_now == TimePoint{}) {
+        m_now = steadyNow();
+    }
+    Segment segment;
+    if (!m_options.format.parse(bytes, segment)) {
+        m_counters->malformed.Increment();
+        m_log.write(m_now, "datagram_malformed", "port", "outbound", "size", bytes.size());
+        return;
+    }
+    if (!segment.returned) {
+        m_counters->answered.Increment();
+        noteServerPacket(m_state, segment, m_now);
+        m_outbound.send(bytes, {segment.destination.address, m_options.callerPort});
+        return;
+    }
+    const auto reason = noteBounce(m_state, segment);
+    m_log.write(m_now, "packet_bounced", "flow", flowText(segment.source, segment.destination), "reason",
+                toString(reason), "opening", segment.opens());
+    if (segment.mark == 0) {
+        m_counters->dropped.Increment();
+        return;
+    }
+    m_options.format.clearReturned(bytes);
+    m_counters->returned.Increment();
+    const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
+    encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason});
+    m_outbound.send(message, {addressOf(segment.mark), m_options.balancerPort});
+}
+
+HeartbeatOutcome GateNode::onHeartbeat(const ServerHeartbeat &heartbeat)
+{
+    const auto now = steadyNow();
+    const auto before = m_state.server;
+    const auto outcome = takeHeartbeat(m_state, heartbeat, now);
+    if (outcome != HeartbeatOutcome::Taken || before != m_state.server) {
+        m_log.write(now, "server_heartbeat", "outcome", toString(outcome), "server_id", heartbeat.id,
+                    "born_at", heartbeat.bornAt, "sequence", heartbeat.sequence, "state",
+                    toString(m_state.server), "before", toString(before), "cold_left_ms", heartbeat.coldLeft,
+                    "service", heartbeat.service);
+        reportAll();
+    }
+    return outcome;
+}
+
+bool GateNode::onDeparture(const std::string &id)
+{
+    const bool taken = takeDeparture(m_state, id);
+    m_log.write(steadyNow(), "server_left", "server_id", id, "taken", taken, "flows", m_state.flows.size());
+    reportAll();
+    return taken;
+}
+
+void GateNode::introduce(const std::vector<IpAddress> &balancers)
+{
+    const auto now = steadyNow();
+    for (const auto &address : balancers) {
+        const auto [found, isNew] = m_balancers.try_emplace(address);
+        if (isNew) {
+            found->second.heard = now;
+        }
+    }
+    reportAll();
+}
+
+void GateNode::reportAll()
+{
+    const auto now = steadyNow();
+    m_lastReport = now;
+    std::array<std::uint8_t, maxPeerMessageSize> report{};
+    const auto size = encodeReport(report, reportOf(m_state, m_options.lifetime, now));
+    for (const auto &[address, balancer] : m_balancers) {
+        m_relay.sendCopy({report.data(), size}, {address, m_options.balancerPort});
+    }
+    m_relay.flush();
+}
+
+void GateNode::tick()
+{
+    const auto now = steadyNow();
+    std::erase_if(m_balancers,
+                  [&](const auto &entry) { return now - entry.second.heard > m_options.balancerLimit; });
+    if (isSuspect(m_state, now)) {
+        probe(now);
+    }
+    if (now - m_lastReport >= m_options.reportPeriod) {
+        reportAll();
+    }
+    if (now - m_lastExpiry > expiryPeriod) {
+        m_lastExpiry = now;
+        expireFlows(m_state, now);
+    }
+    m_counters->flows.Set(static_cast<double>(m_state.flows.size()));
+    m_counters->waiting.Set(m_state.waiting);
+    m_log.flush(now);
+}
+
+void GateNode::scheduleTick()
+{
+    m_timer.expires_after(m_options.tick);
+    m_timer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            tick();
+            scheduleTick();
+        }
+    });
+}
+
+void GateNode::probe(TimePoint now)
+{
+    if (m_probe || now - m_lastProbe < m_options.probePause) {
+        return;
+    }
+    m_lastProbe = now;
+    m_log.write(now, "server_suspect", "server", toString(m_options.server), "heartbeat_age_ms",
+                now - m_state.heard, "flows", m_state.flows.size());
+    m_probe = std::make_unique<Probe>(m_context);
+    m_probe->timer.expires_after(m_options.probeLimit);
+    m_probe->timer.async_wait([this](const asio::error_code &error) {
+        if (!error && m_probe) {
+            m_probe->timedOut = true;
+            m_probe->socket.close();
+        }
+    });
+    const asio::ip::tcp::endpoint server(asio::ip::make_address(toString(m_options.server.address)),
+                                         m_options.server.port);
+    m_probe->socket.async_connect(server, [this](const asio::error_code &error) { onProbed(error); });
+}
+
+void GateNode::onProbed(const asio::error_code &error)
+{
+    const auto now = steadyNow();
+    const bool refused = error == asio::error::connection_refused;
+    m_log.write(now, "server_probed", "accepted", !error, "refused", refused, "error", error.message(),
+                "flows", m_state.flows.size());
+    m_probe.reset();
+    noteProbe(m_state, !error);
+    if (refused) {
+        resetCallers();
+    }
+    if (error) {
+        reportAll();
+    }
+}
+
+// The server is gone: nobody will ever answer on its flows.
+void GateNode::resetCallers()
+{
+    for (const auto &[key, flow] : m_state.flows) {
+        std::array<std::uint8_t, maxResetSize> reset{};
+        const auto size
+            = m_options.format.writeReset(reset, key.service, key.caller, flow.lastAcknowledgement);
+        m_relay.sendCopy({reset.data(), size}, {key.caller.address, m_options.callerPort});
+    }
+    m_relay.flush();
+    m_log.write(steadyNow(), "flows_reset", "cause", "server_gone", "flows", m_state.flows.size());
+    m_state.flows.clear();
+    m_state.waiting = 0;
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/src/http-service.cc
@@ -0,0 +1,65 @@
+#include "oriolelever/http-service.h"
+
+#include <restinio/all.hpp>
+
+#include "oriolelever/log.h"
+
+namespace oriolelever {
+
+namespace {
+
+using Traits = restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+
+constexpr std::chrono::seconds idleConnectionLimit{60};
+constexpr std::size_t maxBodyBytes = 64 << 10;
+constexpr std::size_t readBufferBytes = 2048;
+
+} // namespace
+
+struct HttpService::Server
+{
+    restinio::http_server_t<Traits> http;
+    std::string address;
+};
+
+HttpService::HttpService(asio::io_context &context, const Endpoint &address, Handler handler)
+    : m_server(new Server{
+        {restinio::external_io_context(context),
+         [&](auto &settings) {
+             settings.port(address.port)
+                 .protocol(asio::ip::tcp::v4())
+                 .address(toString(address.address))
+                 .buffer_size(readBufferBytes)
+                 .read_next_http_message_timelimit(idleConnectionLimit)
+                 .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}.max_body_size(maxBodyBytes))
+                 .request_handler([handler = std::move(handler)](const restinio::request_handle_t &request) {
+                     const auto reply = handler({.method = request->header().method().c_str(),
+                                                 .path = std::string(request->header().path()),
+                                                 .body = request->body()});
+                     request
+                         ->create_response(restinio::http_status_line_t(
+                             restinio::http_status_code_t(static_cast<std::uint16_t>(reply.status)),
+                             reply.status < 300 ? "OK" : "Refused"))
+                         .append_header(restinio::http_field::content_type, reply.type)
+                         .set_body(reply.body)
+                         .done();
+                     return restinio::request_accepted();
+                 });
+         }},
+        toString(address)})
+{
+    m_server->http.open_async([] {},
+                              [name = m_server->address](const std::exception_ptr &) {
+                                  static const Log log("http");
+                                  log.error("address {} cannot be listened on", name);
+                              });
+}
+
+HttpService::~HttpService() = default;
+
+void HttpService::close()
+{
+    m_server->http.close_async([] {}, [](const std::exception_ptr &) {});
+}
+
+} // namespace oriolelever
--- a/src/log.cc
+++ b/src/log.cc
@@ -1,40 +1,22 @@
 #include "oriolelever/log.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
+#include <utility>
 
 namespace oriolelever {
 
 namespace {
 
-log4cplus::LogLevel toLog4cplus(LogLevel level)
+LogSink &currentSink()
 {
-    switch (level) {
-    case LogLevel::Debug:
-        return log4cplus::DEBUG_LOG_LEVEL;
-    case LogLevel::Info:
-        return log4cplus::INFO_LOG_LEVEL;
-    case LogLevel::Warn:
-        return log4cplus::WARN_LOG_LEVEL;
-    case LogLevel::Error:
-        return log4cplus::ERROR_LOG_LEVEL;
-    }
-    return log4cplus::INFO_LOG_LEVEL;
+    static LogSink sink = nullptr;
+    return sink;
 }
 
 } // namespace
 
-void initLogging(LogLevel level)
+void setLogSink(LogSink sink)
 {
-    static log4cplus::Initializer initializer;
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %c: %m%n"));
-    auto root = log4cplus::Logger::getRoot();
-    root.removeAllAppenders();
-    root.addAppender(appender);
-    root.setLogLevel(toLog4cplus(level));
+    currentSink() = sink;
 }
 
 bool parseLogLevel(std::string_view text, LogLevel &out)
@@ -60,10 +42,8 @@
 
 void Log::write(LogLevel level, const std::string &text) const
 {
-    const auto logger = log4cplus::Logger::getInstance(m_part);
-    const auto mapped = toLog4cplus(level);
-    if (logger.isEnabledFor(mapped)) {
-        logger.log(mapped, text);
+    if (currentSink() != nullptr) {
+        currentSink()(level, m_part, text);
     }
 }
 
--- /dev/null
+++ b/src/packet-port.cc
@@ -0,0 +1,83 @@
+#include "oriolelever/packet-port.h"
+
+#include <algorithm>
+
+namespace oriolelever {
+
+PacketPort::PacketPort(asio::io_context &context)
+    : m_descriptor(context)
+    , m_batch(batchSize, datagramSize)
+    , m_sends(2 * batchSize)
+{
+}
+
+Result<void> PacketPort::open(const Endpoint &local, Handler handler)
+{
+    BOOST_LEAF_ASSIGN(m_socket, openDatagramSocket(local));
+    m_handler = std::move(handler);
+    m_descriptor.assign(m_socket.value());
+    wait();
+    return {};
+}
+
+void PacketPort::close()
+{
+    if (m_descriptor.is_open()) {
+        m_descriptor.release();
+    }
+    m_socket.reset();
+}
+
+void PacketPort::wait()
+{
+    m_descriptor.async_wait(asio::posix::stream_descriptor::wait_read, [this](const asio::error_code &error) {
+        if (error || !m_socket) {
+            return;
+        }
+        receive();
+        wait();
+    });
+}
+
+void PacketPort::receive()
+{
+    const auto count = m_batch.receive(m_socket);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (m_batch.isCut(i)) {
+            ++m_cut;
+            continue;
+        }
+        m_handler(m_batch.datagram(i), toEndpoint(m_batch.sender(i)));
+    }
+    flush();
+    if (afterBatch) {
+        afterBatch();
+    }
+}
+
+void PacketPort::send(std::span<const std::uint8_t> bytes, const Endpoint &to)
+{
+    if (m_sends.isFull()) {
+        flush();
+    }
+    m_sends.add(bytes, to);
+}
+
+void PacketPort::sendCopy(std::span<const std::uint8_t> bytes, const Endpoint &to)
+{
+    if (m_copied == m_copies.size() || m_sends.isFull()) {
+        flush();
+    }
+    auto &copy = m_copies[m_copied++];
+    const auto size = std::min(bytes.size(), copy.size());
+    std::copy_n(bytes.begin(), size, copy.begin());
+    send({copy.data(), size}, to);
+}
+
+void PacketPort::flush()
+{
+    m_refused += m_sends.flush(m_socket);
+    m_copied = 0;
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/src/peer-message.cc
@@ -0,0 +1,175 @@
+#include "oriolelever/peer-message.h"
+
+#include <algorithm>
+
+#include "oriolelever/bytes.h"
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::uint8_t messageVersion = 1;
+constexpr std::size_t ipv4Size = 4;
+constexpr std::size_t ipv4Offset = 12; ///< Of the IPv4 bytes in a mapped address.
+constexpr std::size_t helloSize = peerHeaderSize + 10;
+constexpr std::size_t reportSize = peerHeaderSize + 39;
+constexpr std::uint8_t unlistedFlag = 1;
+
+IpAddress mappedAddress(const std::uint8_t *bytes)
+{
+    IpAddress address;
+    address.bytes[10] = 0xff;
+    address.bytes[11] = 0xff;
+    std::copy_n(bytes, ipv4Size, address.bytes.begin() + ipv4Offset);
+    return address;
+}
+
+std::uint32_t clampedMilliseconds(std::chrono::milliseconds time)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
+}
+
+} // namespace
+
+std::string_view toString(ReturnReason reason)
+{
+    switch (reason) {
+    case ReturnReason::NotHeld:
+        return "not_held";
+    case ReturnReason::Full:
+        return "full";
+    case ReturnReason::OtherService:
+        return "other_service";
+    case ReturnReason::NotReady:
+        return "not_ready";
+    case ReturnReason::Cold:
+        return "cold";
+    }
+    return "unknown";
+}
+
+std::string_view toString(BackendState state)
+{
+    switch (state) {
+    case BackendState::Unknown:
+        return "unknown";
+    case BackendState::Ready:
+        return "ready";
+    case BackendState::Draining:
+        return "draining";
+    case BackendState::Gone:
+        return "gone";
+    case BackendState::Silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
+bool decodePeerHeader(std::span<const std::uint8_t> bytes, PeerHeader &out)
+{
+    if (bytes.size() < peerHeaderSize || bytes[0] != messageVersion) {
+        return false;
+    }
+    if (bytes[1] < static_cast<std::uint8_t>(PeerMessageType::Relay)
+        || bytes[1] > static_cast<std::uint8_t>(PeerMessageType::Report)) {
+        return false;
+    }
+    out.type = static_cast<PeerMessageType>(bytes[1]);
+    if (out.type == PeerMessageType::Return
+        && (bytes[2] < static_cast<std::uint8_t>(ReturnReason::NotHeld)
+            || bytes[2] > static_cast<std::uint8_t>(ReturnReason::Cold))) {
+        return false;
+    }
+    out.reason = static_cast<ReturnReason>(bytes[2]);
+    out.number = read64(bytes.data() + 4);
+    return true;
+}
+
+void encodePeerHeader(std::span<std::uint8_t> out, const PeerHeader &header)
+{
+    out[0] = messageVersion;
+    out[1] = static_cast<std::uint8_t>(header.type);
+    out[2] = static_cast<std::uint8_t>(header.reason);
+    out[3] = 0;
+    write64(out.data() + 4, header.number);
+}
+
+std::size_t encodeHello(std::span<std::uint8_t> out, const Hello &hello)
+{
+    encodePeerHeader(out, {.type = PeerMessageType::Hello, .number = hello.lifetime});
+    std::uint8_t *at = out.data() + peerHeaderSize;
+    const auto count = std::min(hello.balancers.size(), maxHelloPeers);
+    at[0] = hello.unlisted ? unlistedFlag : 0;
+    at[1] = static_cast<std::uint8_t>(count);
+    write32(at + 2, hello.coldFlowsPerSecond);
+    write32(at + 6, clampedMilliseconds(hello.idleLimit));
+    at += helloSize - peerHeaderSize;
+    for (std::size_t i = 0; i < count; ++i) {
+        std::copy_n(hello.balancers[i].bytes.begin() + ipv4Offset, ipv4Size, at + i * ipv4Size);
+    }
+    return helloSize + count * ipv4Size;
+}
+
+bool decodeHello(std::span<const std::uint8_t> bytes, Hello &out)
+{
+    PeerHeader header;
+    if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Hello
+        || bytes.size() < helloSize) {
+        return false;
+    }
+    const std::uint8_t *at = bytes.data() + peerHeaderSize;
+    const std::size_t count = at[1];
+    if (count > maxHelloPeers || bytes.size() != helloSize + count * ipv4Size) {
+        return false;
+    }
+    out.lifetime = header.number;
+    out.unlisted = (at[0] & unlistedFlag) != 0;
+    out.coldFlowsPerSecond = read32(at + 2);
+    out.idleLimit = std::chrono::milliseconds(read32(at + 6));
+    out.balancers.clear();
+    at += helloSize - peerHeaderSize;
+    for (std::size_t i = 0; i < count; ++i) {
+        out.balancers.push_back(mappedAddress(at + i * ipv4Size));
+    }
+    return true;
+}
+
+std::size_t encodeReport(std::span<std::uint8_t> out, const Report &report)
+{
+    encodePeerHeader(out, {.type = PeerMessageType::Report, .number = report.lifetime});
+    std::uint8_t *at = out.data() + peerHeaderSize;
+    write64(at, report.service.value);
+    write64(at + 8, report.zone.value);
+    at[16] = static_cast<std::uint8_t>(report.state);
+    write16(at + 17, report.slots);
+    write32(at + 19, report.flows);
+    write32(at + 23, report.waiting);
+    write32(at + 27, clampedMilliseconds(report.coldLeft));
+    write64(at + 31, report.bornAt);
+    return reportSize;
+}
+
+bool decodeReport(std::span<const std::uint8_t> bytes, Report &out)
+{
+    PeerHeader header;
+    if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Report
+        || bytes.size() != reportSize) {
+        return false;
+    }
+    const std::uint8_t *at = bytes.data() + peerHeaderSize;
+    if (at[16] > static_cast<std::uint8_t>(BackendState::Silent)) {
+        return false;
+    }
+    out.lifetime = header.number;
+    out.service.value = read64(at);
+    out.zone.value = read64(at + 8);
+    out.state = static_cast<BackendState>(at[16]);
+    out.slots = read16(at + 17);
+    out.flows = read32(at + 19);
+    out.waiting = read32(at + 23);
+    out.coldLeft = std::chrono::milliseconds(read32(at + 27));
+    out.bornAt = read64(at + 31);
+    return true;
+}
+
+} // namespace oriolelever
--- /dev/null
+++ b/src/server-gate.cc
@@ -0,0 +1,281 @@
+#include "oriolelever/server-gate.h"
+
+#include <algorithm>
+
+namespace oriolelever {
+
+namespace {
+
+void setWaiting(GateState &state, HeldFlow &flow, bool waiting)
+{
+    if (flow.waiting == waiting) {
+        return;
+    }
+    flow.waiting = waiting;
+    state.waiting += waiting ? 1 : -1;
+}
+
+void forget(GateState &state, const FlowKey &key)
+{
+    const auto found = state.flows.find(key);
+    if (found == state.flows.end()) {
+        return;
+    }
+    setWaiting(state, found->second, false);
+    state.flows.erase(found);
+}
+
+void forgetAll(GateState &state)
+{
+    state.flows.clear();
+    state.waiting = 0;
+}
+
+void noteSince(TimePoint &since, TimePoint now)
+{
+    if (since == TimePoint{}) {
+        since = now;
+    }
+}
+
+bool acknowledgesOpening(const HeldFlow &flow, const Segment &segment)
+{
+    return segment.acknowledgement - flow.initialSequence <= sequenceWindow;
+}
+
+GateDecision giveBack(ReturnReason reason)
+{
+    return {.act = GateAct::Return, .reason = reason};
+}
+
+ServiceId currentService(const GateState &state)
+{
+    return state.heard != TimePoint{} ? idOf<ServiceId>(state.heartbeat.service) : state.options.service;
+}
+
+GateDecision admitOpening(GateState &state, const Segment &segment, ServiceId meant, TimePoint now)
+{
+    if (meant != currentService(state)) {
+        return giveBack(ReturnReason::OtherService);
+    }
+    if (state.server != BackendState::Ready) {
+        return giveBack(ReturnReason::NotReady);
+    }
+    if (!hasColdRoom(state, now)) {
+        return giveBack(ReturnReason::Cold);
+    }
+    state.openings[state.nextOpening] = now;
+    state.nextOpening = (state.nextOpening + 1) % state.openings.size();
+    auto &flow = state.flows[flowFromCaller(segment)];
+    flow.opening = !flow.halfOpen;
+    flow.lastPacket = now;
+    noteSince(state.unansweredOpening, now);
+    return {.act = GateAct::Deliver};
+}
+
+} // namespace
+
+std::string_view toString(HeartbeatOutcome outcome)
+{
+    switch (outcome) {
+    case HeartbeatOutcome::Taken:
+        return "taken";
+    case HeartbeatOutcome::NewStart:
+        return "new_start";
+    case HeartbeatOutcome::Changed:
+        return "changed";
+    case HeartbeatOutcome::Outdated:
+        return "outdated";
+    }
+    return "unknown";
+}
+
+GateDecision admit(GateState &state, const Segment &segment, ServiceId meant, TimePoint now)
+{
+    if (segment.returned || (segment.syn && segment.ack)) {
+        return {};
+    }
+    if (segment.opens()) {
+        return admitOpening(state, segment, meant, now);
+    }
+    const auto key = flowFromCaller(segment);
+    const auto found = state.flows.find(key);
+    if (found == state.flows.end()) {
+        if (state.server == BackendState::Gone) {
+            return giveBack(ReturnReason::NotHeld);
+        }
+        return {.act = GateAct::Deliver};
+    }
+    auto &flow = found->second;
+    if (flow.halfOpen && segment.ack && !acknowledgesOpening(flow, segment)) {
+        return giveBack(ReturnReason::NotHeld);
+    }
+    flow.halfOpen = false;
+    flow.opening = false;
+    flow.lastPacket = now;
+    flow.lastAcknowledgement = segment.acknowledgement;
+    flow.callerEnded |= segment.fin;
+    if (segment.payloadSize > 0) {
+        setWaiting(state, flow, true);
+        noteSince(state.unansweredPayload, now);
+    }
+    if (segment.rst || (flow.callerEnded && flow.serverEnded)) {
+        forget(state, key);
+    }
+    return {.act = GateAct::Deliver};
+}
+
+void noteServerPacket(GateState &state, const Segment &segment, TimePoint now)
+{
+    state.unansweredOpening = {};
+    state.unansweredPayload = {};
+    const auto key = flowFromServer(segment);
+    if (segment.rst) {
+        forget(state, key);
+        return;
+    }
+    const auto found = state.flows.find(key);
+    // The last acknowledgements of an ended flow are no new flow.
+    if (found == state.flows.end() && segment.payloadSize == 0 && !segment.syn) {
+        return;
+    }
+    auto &flow = found == state.flows.end() ? state.flows[key] : found->second;
+    flow.lastPacket = now;
+    if (segment.syn && segment.ack) {
+        flow.halfOpen = true;
+        flow.opening = false;
+        flow.initialSequence = segment.sequence;
+    }
+    if (segment.payloadSize > 0) {
+        setWaiting(state, flow, false);
+    }
+    flow.serverEnded |= segment.fin;
+    if (flow.callerEnded && flow.serverEnded) {
+        forget(state, key);
+    }
+}
+
+ReturnReason noteBounce(GateState &state, const Segment &segment)
+{
+    state.unansweredOpening = {};
+    state.unansweredPayload = {};
+    const auto key = flowFromCaller(segment);
+    const auto found = state.flows.find(key);
+    if (segment.opens()) {
+        if (found != state.flows.end() && found->second.opening) {
+            forget(state, key);
+        }
+        return ReturnReason::Full;
+    }
+    forget(state, key);
+    return ReturnReason::NotHeld;
+}
+
+HeartbeatOutcome takeHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now)
+{
+    const auto &last = state.heartbeat;
+    const bool known = state.heard != TimePoint{};
+    const bool isNewStart = !known || heartbeat.bornAt > last.bornAt;
+    if (known && heartbeat.bornAt < last.bornAt) {
+        return HeartbeatOutcome::Outdated;
+    }
+    if (known && !isNewStart && heartbeat.sequence <= last.sequence) {
+        return HeartbeatOutcome::Outdated;
+    }
+    if (known && !isNewStart && state.server == BackendState::Gone) {
+        return HeartbeatOutcome::Outdated;
+    }
+    const auto before = state.server;
+    if (known && isNewStart) {
+        forgetAll(state);
+    }
+    state.server = heartbeat.draining ? BackendState::Draining : BackendState::Ready;
+    state.coldUntil = now + heartbeat.coldLeft;
+    state.heard = now;
+    state.unansweredOpening = {};
+    state.unansweredPayload = {};
+    state.heartbeat = std::move(heartbeat);
+    if (isNewStart) {
+        return HeartbeatOutcome::NewStart;
+    }
+    return before == state.server ? HeartbeatOutcome::Taken : HeartbeatOutcome::Changed;
+}
+
+bool takeDeparture(GateState &state, std::string_view id)
+{
+    if (state.heard != TimePoint{} && state.heartbeat.id != id) {
+        return false;
+    }
+    state.server = BackendState::Gone;
+    return true;
+}
+
+bool isSuspect(const GateState &state, TimePoint now)
+{
+    if (state.server != BackendState::Ready && state.server != BackendState::Draining) {
+        return false;
+    }
+    const auto &options = state.options;
+    const auto passed = [now](TimePoint since, std::chrono::milliseconds limit) {
+        return since != TimePoint{} && now - since > limit;
+    };
+    return passed(state.unansweredOpening, options.answerLimit)
+        || passed(state.unansweredPayload, options.requestLimit)
+        || passed(state.heard, options.heartbeatLimit);
+}
+
+void noteProbe(GateState &state, bool accepted)
+{
+    state.unansweredOpening = {};
+    state.unansweredPayload = {};
+    if (accepted) {
+        return;
+    }
+    state.server = BackendState::Silent;
+}
+
+bool hasColdRoom(const GateState &state, TimePoint now)
+{
+    if (now >= state.coldUntil) {
+        return true;
+    }
+    // An agent that has just started does not know what its server got before.
+    if (now - state.started < state.options.coldWindow && state.heartbeat.sequence > 1) {
+        return false;
+    }
+    const auto used = std::count_if(state.openings.begin(), state.openings.end(), [&](TimePoint opening) {
+        return opening != TimePoint{} && now - opening < state.options.coldWindow;
+    });
+    return static_cast<std::uint32_t>(used) + state.options.coldReserve < state.coldFlowsPerSecond;
+}
+
+void expireFlows(GateState &state, TimePoint now)
+{
+    const auto limit = state.idleLimit > std::chrono::milliseconds::zero() ? state.idleLimit
+                                                                           : state.options.defaultIdleLimit;
+    std::erase_if(state.flows, [&](const auto &entry) {
+        const auto &flow = entry.second;
+        const bool ended = now - flow.lastPacket > limit;
+        state.waiting -= ended && flow.waiting ? 1 : 0;
+        return ended;
+    });
+}
+
+Report reportOf(const GateState &state, std::uint64_t lifetime, TimePoint now)
+{
+    const bool known = state.heard != TimePoint{};
+    const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(state.coldUntil - now);
+    return {
+        .lifetime = lifetime,
+        .service = currentService(state),
+        .zone = known ? idOf<ZoneId>(state.heartbeat.zone) : state.options.zone,
+        .state = state.server,
+        .slots = known ? state.heartbeat.slots : std::uint16_t{1},
+        .flows = static_cast<std::uint32_t>(state.flows.size()),
+        .waiting = state.waiting,
+        .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
+        .bornAt = state.heartbeat.bornAt,
+    };
+}
+
+} // namespace oriolelever
--- a/src/types.cc
+++ b/src/types.cc
@@ -30,6 +30,11 @@
     return hash == 0 ? 1 : hash;
 }
 
+std::size_t AddressHash::operator()(const IpAddress &address) const noexcept
+{
+    return XXH3_64bits(address.bytes.data(), address.bytes.size());
+}
+
 bool IpAddress::isV4() const
 {
     return std::equal(mappedPrefix.begin(), mappedPrefix.end(), bytes.begin());
