Cold servers are limited only where the configuration states a rate

Cause: after a final power loss every server is cold for 2 s, and both sites' configurations state a rate of 0 for cold servers: the gate let 4 flows a second through to each, and none for 1.1 s after the agent's own start, so that callers got resets from a fleet that was idle. Ruled out: slow start of the processes (all are up 100 ms after power returns).

--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -41,11 +41,14 @@
 
 std::string_view toString(BackendState state);
 
+constexpr std::uint32_t noColdLimit = UINT32_MAX; ///< The configuration states no rate for cold servers.
+
 /// What a balancer tells an agent.
 struct Hello
 {
     std::uint64_t lifetime = 0; ///< Differs for each start of the balancer.
-    std::uint32_t coldFlowsPerSecond = 0; ///< New flows a second that the agent's server bears while cold.
+    /// New flows a second that the agent's server bears while cold.
+    std::uint32_t coldFlowsPerSecond = noColdLimit;
     std::chrono::milliseconds idleLimit{0}; ///< Silent flows may be forgotten after it; 0 if unknown.
     bool unlisted = false; ///< The agent's entry in the platform's store is missing.
     std::vector<IpAddress> balancers; ///< Other live balancers, IPv4 only.
--- a/include/oriolelever/routing-table.h
+++ b/include/oriolelever/routing-table.h
@@ -37,7 +37,8 @@
     std::uint64_t revision = 0; ///< Revision of the platform's store that wrote it; later ones are larger.
     std::uint64_t version = 0; ///< The operators' number.
     std::unordered_map<Endpoint, VirtualRoute, EndpointHash> routes; ///< By virtual address.
-    std::unordered_map<ServiceId, double> coldFlowsPerSecond; ///< What a cold server of a service bears.
+    std::unordered_map<ServiceId, double>
+        coldFlowsPerSecond; ///< What a cold server bears; absent if not stated.
     std::chrono::milliseconds idleLimit{0}; ///< Flows that are silent for longer may be forgotten.
 };
 
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -63,7 +63,7 @@
     ServerHeartbeat heartbeat; ///< The last one taken.
     TimePoint heard{}; ///< When it came.
     TimePoint coldUntil{};
-    std::uint32_t coldFlowsPerSecond = 0;
+    std::uint32_t coldFlowsPerSecond = 0; ///< Nothing is known before a balancer has told.
     std::chrono::milliseconds idleLimit{0};
     static constexpr std::size_t coldRing = 64; ///< Largest number of openings that are counted in a second.
     std::array<TimePoint, coldRing> openings{};
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -236,7 +236,7 @@
 
 bool hasColdRoom(const GateState &state, TimePoint now)
 {
-    if (now >= state.coldUntil) {
+    if (now >= state.coldUntil || state.coldFlowsPerSecond == noColdLimit) {
         return true;
     }
     // An agent that has just started does not know what its server got before.
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -147,9 +147,13 @@
     const auto version = table.version;
     const auto routes = table.routes.size();
     const auto before = m_state.table.version;
+    std::string coldRates;
+    for (const auto &[service, rate] : table.coldFlowsPerSecond) {
+        coldRates += fmt::format("{}{}", coldRates.empty() ? "" : ",", rate);
+    }
     const bool taken = takeTable(m_state, std::move(table));
     m_log.write(now, taken ? "configuration_in_force" : "configuration_ignored", "version", version,
-                "revision", revision, "before", before, "routes", routes);
+                "revision", revision, "before", before, "routes", routes, "cold_rates", coldRates);
     m_counters->version.Set(static_cast<double>(m_state.table.version));
 }
 
@@ -298,11 +302,14 @@
     m_greeted[index] = now;
     const auto &backend = m_state.backends[index];
     const auto rate = m_state.table.coldFlowsPerSecond.find(backend.report.service);
-    const double cold = rate == m_state.table.coldFlowsPerSecond.end() ? 0 : rate->second;
+    std::uint32_t coldLimit = noColdLimit;
+    if (rate != m_state.table.coldFlowsPerSecond.end()) {
+        coldLimit = static_cast<std::uint32_t>(
+            std::floor(rate->second * m_options.coldFactor + m_options.coldSlack));
+    }
     const Hello hello{
         .lifetime = m_options.lifetime,
-        .coldFlowsPerSecond
-        = static_cast<std::uint32_t>(std::floor(cold * m_options.coldFactor + m_options.coldSlack)),
+        .coldFlowsPerSecond = coldLimit,
         .idleLimit = m_state.table.idleLimit,
         .unlisted = m_listedOnce && !backend.listed,
     };
