A restarted balancer resets nothing before it knows the agents

Ruled out: an agent that answered wrongly (none had been asked). Change: nothing is decided before the roster is read, and agents that have just become known get 400 ms for a first report before an opening is refused. Test: steering-test, two cases that failed first.

--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -92,7 +92,6 @@
     TimePoint m_lastPacket{};
     TimePoint m_lastExpiry{};
     TimePoint m_drainBegan{};
-    bool m_listedOnce = false;
     bool m_evacuationsKnown = false;
     bool m_draining = false;
 };
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -22,6 +22,7 @@
 {
     ZoneId zone; ///< Availability zone of the balancer and of its callers.
     std::chrono::milliseconds silentAfter{700}; ///< Three and a half report periods without a report.
+    std::chrono::milliseconds settleTime{400}; ///< Two report periods, for the first report of an agent.
     std::chrono::milliseconds lostAfter{
         3000}; ///< A silent agent no longer keeps an unknown flow from being reset.
     std::chrono::milliseconds searchPause{150}; ///< Shorter than a caller's first retransmission, 200 ms.
@@ -89,6 +90,7 @@
     SteeringOptions options;
     RoutingTable table;
     bool configured = false; ///< `table` was read.
+    bool rosterKnown = false; ///< The agents' entries in the platform's store were read.
     std::unordered_set<ZoneId> evacuated; ///< Zones whose servers get no new flows.
     std::vector<Backend> backends;
     std::unordered_map<IpAddress, BackendIndex, AddressHash> byHost;
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -137,7 +137,7 @@
 
 bool SteeringNode::isReady() const
 {
-    return m_state.configured && m_evacuationsKnown && m_listedOnce && !m_draining;
+    return m_state.configured && m_evacuationsKnown && m_state.rosterKnown && !m_draining;
 }
 
 void SteeringNode::setTable(RoutingTable table)
@@ -174,7 +174,7 @@
 void SteeringNode::setListed(const std::vector<IpAddress> &hosts)
 {
     const auto now = steadyNow();
-    m_listedOnce = true;
+    m_state.rosterKnown = true;
     for (auto &backend : m_state.backends) {
         backend.listed = false;
     }
@@ -311,7 +311,7 @@
         .lifetime = m_options.lifetime,
         .coldFlowsPerSecond = coldLimit,
         .idleLimit = m_state.table.idleLimit,
-        .unlisted = m_listedOnce && !backend.listed,
+        .unlisted = m_state.rosterKnown && !backend.listed,
     };
     std::array<std::uint8_t, maxPeerMessageSize> bytes{};
     const auto size = encodeHello(bytes, hello);
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -76,13 +76,22 @@
     return {};
 }
 
+// Agents that have just become known get time for a first report; callers repeat the opening packet
+// meanwhile.
+bool isSettled(const SteeringState &state, TimePoint now)
+{
+    return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
+        return backend.reported == TimePoint{} && now - backend.introduced < state.options.settleTime;
+    });
+}
+
 SteeringDecision placeFlow(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
                            SteeredFlow &flow, SteeringCause cause, TimePoint now)
 {
     const auto placement = place(state, route, flow.tried, now);
     if (placement.backend == noBackend) {
         state.flows.erase(key);
-        return refuse(SteeringCause::NoServer);
+        return isSettled(state, now) ? refuse(SteeringCause::NoServer) : drop(SteeringCause::NotReady);
     }
     flow.holder = placement.backend;
     ++state.backends[placement.backend].placed;
@@ -267,7 +276,7 @@
 
 SteeringDecision steerCallerPacket(SteeringState &state, const Segment &segment, TimePoint now)
 {
-    if (!state.configured) {
+    if (!state.configured || !state.rosterKnown) {
         return drop(SteeringCause::NotReady);
     }
     if (segment.returned || (segment.syn && segment.ack)) {
--- /dev/null
+++ b/test/steering-test.cc
@@ -0,0 +1,294 @@
+#include "oriolelever/steering.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace oriolelever {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view serviceName = "sportello";
+
+Endpoint endpoint(std::string_view text)
+{
+    Endpoint parsed;
+    EXPECT_TRUE(parseEndpoint(text, parsed)) << text;
+    return parsed;
+}
+
+IpAddress address(std::string_view text)
+{
+    IpAddress parsed;
+    EXPECT_TRUE(parseIpAddress(text, parsed)) << text;
+    return parsed;
+}
+
+// One balancer of zone "a" with a configuration and three agents: two in its zone, one in zone "b".
+class SteeringTest : public testing::Test
+{
+protected:
+    SteeringTest()
+    {
+        state.options.zone = idOf<ZoneId>("a");
+        RoutingTable table{.revision = 10, .version = 1};
+        table.routes[virtualAddress] = {.services = {{idOf<ServiceId>(serviceName), 1}}, .idempotent = true};
+        table.idleLimit = milliseconds(15'000);
+        EXPECT_TRUE(takeTable(state, table));
+    }
+
+    void know(std::initializer_list<std::string_view> hosts)
+    {
+        for (const auto host : hosts) {
+            state.backends[backendOn(state, address(host), now)].listed = true;
+        }
+        state.rosterKnown = true;
+    }
+
+    void report(std::string_view host, Report report)
+    {
+        if (!report.service) {
+            report.service = idOf<ServiceId>(serviceName);
+        }
+        if (!report.zone) {
+            report.zone = idOf<ZoneId>("a");
+        }
+        takeReport(state, indexOf(host), report, now);
+    }
+
+    void threeReady()
+    {
+        know({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+        report("10.0.0.1", {.state = BackendState::Ready, .slots = 2, .flows = 4});
+        report("10.0.0.2", {.state = BackendState::Ready, .slots = 2, .flows = 2});
+        report("10.0.0.3", {.zone = idOf<ZoneId>("b"), .state = BackendState::Ready, .slots = 2, .flows = 0});
+    }
+
+    BackendIndex indexOf(std::string_view host)
+    {
+        return backendOn(state, address(host), now);
+    }
+
+    Segment packet(std::uint16_t port, bool opens)
+    {
+        return {.source = endpoint("203.0.113.7:" + std::to_string(port)),
+                .destination = virtualAddress,
+                .syn = opens,
+                .ack = !opens,
+                .acknowledgement = opens ? 0U : 1000U,
+                .payloadSize = opens ? 0U : 100U};
+    }
+
+    SteeringDecision open(std::uint16_t port)
+    {
+        return steerCallerPacket(state, packet(port, true), now);
+    }
+
+    SteeringDecision data(std::uint16_t port)
+    {
+        return steerCallerPacket(state, packet(port, false), now);
+    }
+
+    SteeringDecision giveBack(std::uint16_t port, bool opens, BackendIndex from, ReturnReason reason)
+    {
+        return steerReturned(state, packet(port, opens), from, reason, now);
+    }
+
+    SteeringState state;
+    TimePoint now{std::chrono::hours(1)};
+    const Endpoint virtualAddress = endpoint("198.51.100.1:443");
+};
+
+TEST_F(SteeringTest, NothingIsDecidedBeforeTheConfigurationIsRead)
+{
+    SteeringState empty;
+    const auto decision = steerCallerPacket(empty, packet(1, true), now);
+    EXPECT_EQ(decision.act, SteeringAct::Drop);
+    EXPECT_EQ(decision.cause, SteeringCause::NotReady);
+}
+
+TEST_F(SteeringTest, ARestartedBalancerResetsNothingBeforeItKnowsTheAgents)
+{
+    EXPECT_EQ(data(1).act, SteeringAct::Drop);
+    EXPECT_EQ(open(2).act, SteeringAct::Drop);
+}
+
+TEST_F(SteeringTest, AnOpeningWaitsForAgentsThatHadNoTimeToReport)
+{
+    know({"10.0.0.1"});
+    EXPECT_EQ(open(1).cause, SteeringCause::NotReady);
+    EXPECT_EQ(data(2).cause, SteeringCause::Undecided);
+    now += state.options.settleTime;
+    EXPECT_EQ(open(1).act, SteeringAct::Reset);
+    EXPECT_EQ(data(2).cause, SteeringCause::Undecided) << "the silent agent's server may hold the flow";
+    now += state.options.lostAfter;
+    EXPECT_EQ(data(2).cause, SteeringCause::NotHeld);
+}
+
+TEST_F(SteeringTest, ANewFlowGoesToTheLeastLoadedServerOfTheOwnZone)
+{
+    threeReady();
+    const auto decision = open(1);
+    EXPECT_EQ(decision.act, SteeringAct::Forward);
+    EXPECT_EQ(decision.cause, SteeringCause::Placed);
+    EXPECT_EQ(decision.backend, indexOf("10.0.0.2"));
+}
+
+TEST_F(SteeringTest, AnotherZoneHelpsWhenTheOwnOneIsLoaded)
+{
+    threeReady();
+    report("10.0.0.1", {.state = BackendState::Ready, .slots = 2, .flows = 40});
+    report("10.0.0.2", {.state = BackendState::Ready, .slots = 2, .flows = 40});
+    EXPECT_EQ(open(1).backend, indexOf("10.0.0.3"));
+}
+
+TEST_F(SteeringTest, PacketsAndCopiesFollowTheFlow)
+{
+    threeReady();
+    const auto placed = open(1).backend;
+    EXPECT_EQ(open(1).backend, placed);
+    EXPECT_EQ(data(1).backend, placed);
+    EXPECT_EQ(data(1).cause, SteeringCause::Known);
+}
+
+TEST_F(SteeringTest, ACopyOfAnOpeningLeavesAnAgentThatWentSilent)
+{
+    threeReady();
+    const auto first = open(1).backend;
+    now += state.options.silentAfter;
+    for (const auto host : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+        if (indexOf(host) != first) {
+            report(host, {.state = BackendState::Ready, .slots = 2});
+        }
+    }
+    const auto second = open(1);
+    EXPECT_EQ(second.cause, SteeringCause::Moved);
+    EXPECT_NE(second.backend, first);
+}
+
+TEST_F(SteeringTest, NoNewFlowGoesToAnEvacuatedZone)
+{
+    threeReady();
+    state.evacuated.insert(idOf<ZoneId>("a"));
+    EXPECT_EQ(open(1).backend, indexOf("10.0.0.3"));
+    state.evacuated.insert(idOf<ZoneId>("b"));
+    EXPECT_EQ(open(2).cause, SteeringCause::NoServer);
+}
+
+TEST_F(SteeringTest, AnOpenFlowStaysInAnEvacuatedZone)
+{
+    threeReady();
+    const auto placed = open(1).backend;
+    state.evacuated.insert(idOf<ZoneId>("a"));
+    EXPECT_EQ(data(1).backend, placed);
+}
+
+TEST_F(SteeringTest, AReturnedOpeningTriesEachServerOnceAndIsThenRefused)
+{
+    threeReady();
+    std::set<BackendIndex> asked;
+    auto decision = open(1);
+    while (decision.act == SteeringAct::Forward) {
+        ASSERT_TRUE(asked.insert(decision.backend).second);
+        decision = giveBack(1, true, decision.backend, ReturnReason::Full);
+    }
+    EXPECT_EQ(asked.size(), 3U);
+    EXPECT_EQ(decision.act, SteeringAct::Reset);
+    EXPECT_EQ(decision.cause, SteeringCause::NoServer);
+}
+
+TEST_F(SteeringTest, AnUnknownFlowIsOfferedToEachAgentAndThenReset)
+{
+    threeReady();
+    std::set<BackendIndex> asked;
+    auto decision = data(1);
+    while (decision.act == SteeringAct::Forward) {
+        EXPECT_EQ(decision.cause, SteeringCause::Searching);
+        ASSERT_TRUE(asked.insert(decision.backend).second);
+        decision = giveBack(1, false, decision.backend, ReturnReason::NotHeld);
+    }
+    EXPECT_EQ(asked.size(), 3U);
+    EXPECT_EQ(decision.act, SteeringAct::Reset);
+    EXPECT_EQ(decision.cause, SteeringCause::NotHeld);
+}
+
+TEST_F(SteeringTest, AFlowThatASilentServerMayHoldIsNotReset)
+{
+    threeReady();
+    now += milliseconds(500);
+    report("10.0.0.1", {.state = BackendState::Ready});
+    report("10.0.0.2", {.state = BackendState::Ready});
+    now += milliseconds(300);
+    auto decision = data(1);
+    while (decision.act == SteeringAct::Forward) {
+        decision = giveBack(1, false, decision.backend, ReturnReason::NotHeld);
+    }
+    EXPECT_EQ(decision.act, SteeringAct::Drop);
+    EXPECT_EQ(decision.cause, SteeringCause::Undecided);
+}
+
+TEST_F(SteeringTest, ASearchEndsAtTheServerThatKeepsThePacket)
+{
+    threeReady();
+    const auto first = data(1).backend;
+    const auto second = giveBack(1, false, first, ReturnReason::NotHeld).backend;
+    EXPECT_EQ(data(1).backend, second);
+    EXPECT_EQ(data(1).cause, SteeringCause::Known);
+}
+
+TEST_F(SteeringTest, AConfigurationNeverGoesBack)
+{
+    RoutingTable older{.revision = 9, .version = 0};
+    EXPECT_FALSE(takeTable(state, older));
+    EXPECT_EQ(state.table.version, 1U);
+}
+
+TEST_F(SteeringTest, ARouteThatIsGoneIsRefusedAtOnce)
+{
+    threeReady();
+    open(1);
+    RoutingTable next{.revision = 11, .version = 2};
+    EXPECT_TRUE(takeTable(state, next));
+    EXPECT_EQ(data(1).cause, SteeringCause::NoRoute);
+    EXPECT_EQ(open(2).act, SteeringAct::Reset);
+}
+
+TEST_F(SteeringTest, WhatCallersDoNotSendIsDropped)
+{
+    threeReady();
+    auto forged = packet(1, true);
+    forged.ack = true;
+    EXPECT_EQ(steerCallerPacket(state, forged, now).cause, SteeringCause::NotFromCaller);
+    forged = packet(1, false);
+    forged.returned = true;
+    EXPECT_EQ(steerCallerPacket(state, forged, now).cause, SteeringCause::NotFromCaller);
+}
+
+TEST_F(SteeringTest, SharesOfAWeightedRouteAreKept)
+{
+    threeReady();
+    RoutingTable table{.revision = 11, .version = 2};
+    table.routes[virtualAddress]
+        = {.services = {{idOf<ServiceId>(serviceName), 90}, {idOf<ServiceId>("archivio"), 10}}};
+    EXPECT_TRUE(takeTable(state, table));
+    report("10.0.0.3", {.service = idOf<ServiceId>("archivio"), .state = BackendState::Ready, .slots = 2});
+    int other = 0;
+    constexpr int flows = 2000;
+    for (int i = 0; i < flows; ++i) {
+        other += open(static_cast<std::uint16_t>(1000 + i)).backend == indexOf("10.0.0.3") ? 1 : 0;
+    }
+    EXPECT_NEAR(other, flows / 10, flows / 50);
+}
+
+TEST_F(SteeringTest, SilentFlowsAreForgotten)
+{
+    threeReady();
+    open(1);
+    now += milliseconds(31'000);
+    expireFlows(state, now);
+    EXPECT_TRUE(state.flows.empty());
+}
+
+} // namespace
+} // namespace oriolelever
