Holders of flows are noted at two agents; searches of unknown flows no longer visit every server

Agents were also told for up to 15 s that their entries were missing when they had been written after the list was read: 9 of 10 calls to the store. Ruled out: a hash of the flow alone as place of new flows, which would cost balance. Change: balancers note each flow's holder at two agents by rendezvous hashing and ask those first; an agent that has run since before its server's start answers for it; a repeated packet moves a search on; an undecided search pauses for 1.5 s; entries are renewed only if the agent was heard 3 s before the list.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -69,7 +69,10 @@
     void onRelayed(std::span<std::uint8_t> bytes, const Endpoint &from);
     void onHello(std::span<std::uint8_t> bytes, const Endpoint &from);
     void onServerPacket(std::span<std::uint8_t> bytes);
-    void giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason);
+    void onNote(std::span<std::uint8_t> bytes);
+    void onFind(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer);
+    void giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason,
+                  std::uint32_t number = 0);
     void resetCallers();
     void reportAll();
     void tick();
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "oriolelever/types.h"
+#include "oriolelever/flow.h"
 
 namespace oriolelever {
 
@@ -18,6 +18,8 @@
     Return = 2, ///< Agent to balancer: a packet that the server does not take.
     Hello = 3, ///< Balancer to agent: asks for reports.
     Report = 4, ///< Agent to balancer: state and load of the server.
+    Find = 5, ///< Balancer to agent: a caller's packet; asks which agent's server has its flow.
+    Note = 6, ///< Balancer to agent: remember a flow's holder; the number is the holder's IPv4 address.
 };
 
 /// Why an agent gives a packet back.
@@ -27,6 +29,8 @@
     OtherService = 3, ///< The server belongs to another service.
     NotReady = 4, ///< The server is unknown so far, draining, gone or does not answer.
     Cold = 5, ///< The server has had as many flows in this second as a cold server bears.
+    Noted = 6, ///< Another agent's server has the flow; the number is its IPv4 address.
+    NotNoted = 7, ///< Nothing is noted of the flow.
 };
 
 std::string_view toString(ReturnReason reason);
@@ -73,6 +77,7 @@
 };
 
 constexpr std::size_t peerHeaderSize = 12; ///< Bytes.
+constexpr std::size_t noteSize = peerHeaderSize + 12; ///< Bytes.
 constexpr std::size_t maxHelloPeers = 16;
 constexpr std::size_t maxPeerMessageSize = 160; ///< Bytes of the largest Hello or Report.
 
@@ -89,6 +94,14 @@
 /// Writes `peerHeaderSize` bytes.
 void encodePeerHeader(std::span<std::uint8_t> out, const PeerHeader &header);
 
+/// A note: the header and a flow's key. Writes `noteSize` bytes.
+void encodeNote(std::span<std::uint8_t> out, const FlowKey &flow, const IpAddress &holder);
+bool decodeNote(std::span<const std::uint8_t> bytes, FlowKey &flow, IpAddress &holder);
+
+/// IPv4 address as a number, and back.
+std::uint32_t ipv4Number(const IpAddress &address);
+IpAddress ipv4Address(std::uint32_t number);
+
 /// Both return the size; `out` must hold `maxPeerMessageSize` bytes. Of the balancers the first
 /// `maxHelloPeers` fit.
 std::size_t encodeHello(std::span<std::uint8_t> out, const Hello &hello);
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -38,6 +38,9 @@
     std::uint32_t coldReserve = 1; ///< Flows kept free under the limit.
     std::chrono::milliseconds answerLimit{100}; ///< A server answers an opening packet in a few milliseconds.
     std::chrono::milliseconds requestLimit{400}; ///< Payload without any packet of the server.
+    std::chrono::milliseconds endedLimit{5000}; ///< Longer than a caller repeats its last packet.
+    std::chrono::milliseconds noteLimit{75000}; ///< Longer than the 60 s for which flows are kept whole.
+    std::size_t maxNotes = 20000; ///< Two megabytes.
     std::chrono::milliseconds heartbeatLimit{3000}; ///< Two and a half periods of 1.2 s.
     std::chrono::milliseconds defaultIdleLimit{15'000}; ///< Where no balancer has named one.
 };
@@ -50,11 +53,19 @@
     bool opening = false; ///< An opening packet was delivered and not answered.
     bool callerEnded = false;
     bool serverEnded = false;
+    bool ended = false; ///< By both ends or by a reset.
     bool waiting = false; ///< A request has no answer yet.
     std::uint32_t lastAcknowledgement = 0; ///< Of the caller.
     TimePoint lastPacket{};
 };
 
+/// Which agent's server has a flow, as a balancer told.
+struct FlowNote
+{
+    IpAddress holder;
+    TimePoint noted{};
+};
+
 struct GateState
 {
     GateOptions options;
@@ -69,9 +80,12 @@
     std::array<TimePoint, coldRing> openings{};
     std::size_t nextOpening = 0;
     std::uint32_t waiting = 0; ///< Flows whose `waiting` is set.
+    std::uint32_t ended = 0; ///< Flows whose `ended` is set.
     TimePoint unansweredOpening{}; ///< First opening packet since the server's last packet.
     TimePoint unansweredPayload{}; ///< First payload since the server's last packet.
     std::unordered_map<FlowKey, HeldFlow> flows;
+    bool sawStart = false; ///< The agent has run since before the server's start: `flows` lacks none.
+    std::unordered_map<FlowKey, FlowNote> notes; ///< Flows of any server.
 };
 
 enum class GateAct : std::uint8_t { Deliver, Return, Drop };
@@ -114,6 +128,11 @@
 /// New flows that the server bears now, if it is cold.
 bool hasColdRoom(const GateState &state, TimePoint now);
 
+/// Remembers the holder of a flow; drops it if `maxNotes` are kept.
+void takeNote(GateState &state, const FlowKey &flow, const IpAddress &holder, TimePoint now);
+/// The noted holder, null if there is none.
+const IpAddress *notedHolder(const GateState &state, const FlowKey &flow);
+
 /// Forgets flows that were silent for longer than callers and servers keep them.
 void expireFlows(GateState &state, TimePoint now);
 
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -72,7 +72,8 @@
     void onCallerPacket(std::span<std::uint8_t> bytes);
     void onLinkMessage(std::span<std::uint8_t> bytes, const Endpoint &from);
     void onReport(std::span<std::uint8_t> bytes, const Endpoint &from);
-    void onReturned(std::span<std::uint8_t> bytes, ReturnReason reason, const Endpoint &from);
+    void onReturned(std::span<std::uint8_t> bytes, const PeerHeader &header, const Endpoint &from);
+    void sendNotes(const FlowKey &flow, const IpAddress &holder);
     void carryOut(const SteeringDecision &decision, const Segment &segment, std::span<std::uint8_t> bytes);
     void logDecision(const SteeringDecision &decision, const Segment &segment);
     void greet(BackendIndex index);
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -5,6 +5,7 @@
 /// argument.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
@@ -23,9 +24,13 @@
     ZoneId zone; ///< Availability zone of the balancer and of its callers.
     std::chrono::milliseconds silentAfter{700}; ///< Three and a half report periods without a report.
     std::chrono::milliseconds settleTime{400}; ///< Two report periods, for the first report of an agent.
+    std::chrono::milliseconds entryTime{3000}; ///< An agent that has just started may not have its entry yet.
     std::chrono::milliseconds lostAfter{
         3000}; ///< A silent agent no longer keeps an unknown flow from being reset.
     std::chrono::milliseconds searchPause{150}; ///< Shorter than a caller's first retransmission, 200 ms.
+    /// After a search that stayed undecided: longer than most callers wait for an answer, so that a flow's
+    /// packets are not offered to other servers again and again while its own agent restarts.
+    std::chrono::milliseconds undecidedPause{1500};
     std::chrono::milliseconds openingLimit{1500}; ///< Callers give up opening a flow after 1.4 s.
     std::chrono::milliseconds defaultIdleLimit{30'000}; ///< Where the configuration names none.
     double zoneMargin = 1.25; ///< Load relative to the best server up to which the own zone is preferred.
@@ -38,13 +43,18 @@
 struct Backend
 {
     IpAddress host;
+    std::uint64_t hash = 0; ///< Of `host`, for `directoriesOf`.
     Report report;
     TimePoint reported{}; ///< When `report` came; never if zero.
     TimePoint introduced{}; ///< When the agent became known.
     std::uint32_t placed = 0; ///< Flows placed there by this balancer since `report`.
-    bool listed = false; ///< Has an entry in the platform's store.
+    bool missing = false; ///< Was heard before the entries in the platform's store were listed, and has none.
 };
 
+/// Agents that are asked for a note; the first `noteCopies` of them are told.
+constexpr std::size_t noteAgents = 3;
+constexpr std::size_t noteCopies = 2;
+
 using BackendIndex = std::uint16_t;
 constexpr BackendIndex noBackend = UINT16_MAX;
 
@@ -52,20 +62,33 @@
 struct SteeredFlow
 {
     BackendIndex holder = noBackend; ///< Where its packets go.
-    bool idempotent = false;
     TimePoint lastPacket{};
     TimePoint opened{}; ///< First opening packet; zero if the flow was found by a search.
+    bool found = true; ///< The holder has placed it or kept it; otherwise a search is going on.
+    bool asking = false; ///< The search asks an agent for a note; `holder` is that agent.
+    bool noted = false; ///< Notes of the holder were sent.
+    std::uint8_t asked = 0; ///< Agents that the search has asked for a note.
+    bool unclear = false; ///< An agent of the search neither kept nor gave back the packet.
+    std::uint32_t offeredSequence = 0; ///< Of the packet that the holder was offered.
+    std::uint32_t offeredAcknowledgement = 0; ///< Of the same packet; it grows once the server answers.
+    TimePoint offered{};
     TimePoint exhausted{}; ///< When the last search ended without a holder.
     std::vector<BackendIndex> tried; ///< Agents that gave back a packet of it.
 };
 
-enum class SteeringAct : std::uint8_t { Forward, Reset, Drop };
+enum class SteeringAct : std::uint8_t {
+    Forward,
+    Ask, ///< Send the packet to an agent that may have a note of its flow.
+    Reset,
+    Drop,
+};
 
 enum class SteeringCause : std::uint8_t {
     Known, ///< The cache has the flow's holder.
     Placed, ///< A new flow.
     Moved, ///< A new flow that another server did not take.
-    Searching, ///< The holder is not known; the next agent is asked.
+    Asking, ///< The holder is not known; an agent is asked for a note.
+    Searching, ///< Nobody has a note; the packet is offered to the next server.
     NotReady, ///< No configuration yet.
     NoRoute, ///< The configuration has no such address.
     NoServer, ///< No server of the service takes a flow.
@@ -81,7 +104,8 @@
 {
     SteeringAct act = SteeringAct::Drop;
     SteeringCause cause = SteeringCause::NotReady;
-    BackendIndex backend = noBackend; ///< Of `Forward`.
+    BackendIndex backend = noBackend; ///< Of `Forward` and `Ask`.
+    bool note = false; ///< The agents of `directoriesOf` are to note that `backend` holds the flow.
     ServiceId service; ///< Service meant by an opening packet.
 };
 
@@ -101,6 +125,9 @@
 /// The agent on `host`, made known if it was not.
 BackendIndex backendOn(SteeringState &state, const IpAddress &host, TimePoint now);
 
+/// Takes the hosts of all agents that have entries in the platform's store.
+void takeRoster(SteeringState &state, const std::vector<IpAddress> &hosts, TimePoint now);
+
 /// Takes what an agent says of itself.
 void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now);
 
@@ -121,12 +148,18 @@
 BackendIndex chooseBackend(const SteeringState &state, ServiceId service,
                            const std::vector<BackendIndex> &tried, TimePoint now);
 
+/// Agents that keep the notes of a flow, the same at every balancer that knows the same agents; unused places
+/// hold `noBackend`.
+std::array<BackendIndex, noteAgents> directoriesOf(const SteeringState &state, const FlowKey &flow,
+                                                   TimePoint now);
+
 /// Decides about a packet that came from a caller.
 SteeringDecision steerCallerPacket(SteeringState &state, const Segment &segment, TimePoint now);
 
 /// Decides about a packet that the agent `from` gave back.
+/// `holder` is the host that a reason of `Noted` names.
 SteeringDecision steerReturned(SteeringState &state, const Segment &segment, BackendIndex from,
-                               ReturnReason reason, TimePoint now);
+                               ReturnReason reason, const IpAddress &holder, TimePoint now);
 
 /// Forgets flows that were silent for longer than callers and servers keep them.
 void expireFlows(SteeringState &state, TimePoint now);
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -5,34 +5,17 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
-#include "oriolelever/bytes.h"
-
 namespace oriolelever {
 
 namespace {
 
 constexpr std::chrono::seconds expiryPeriod{5};
-constexpr std::size_t ipv4Offset = 12; ///< Of the IPv4 bytes in a mapped address.
 
 TimePoint steadyNow()
 {
     return std::chrono::steady_clock::now();
 }
 
-std::uint32_t markOf(const IpAddress &address)
-{
-    return read32(address.bytes.data() + ipv4Offset);
-}
-
-IpAddress addressOf(std::uint32_t mark)
-{
-    IpAddress address;
-    address.bytes[10] = 0xff;
-    address.bytes[11] = 0xff;
-    write32(address.bytes.data() + ipv4Offset, mark);
-    return address;
-}
-
 } // namespace
 
 struct GateNode::Counters
@@ -154,7 +137,15 @@
         onHello(bytes, from);
         return;
     }
+    if (header.type == PeerMessageType::Note) {
+        onNote(bytes);
+        return;
+    }
     const auto packet = bytes.subspan(peerHeaderSize);
+    if (header.type == PeerMessageType::Find && m_options.format.parse(packet, segment)) {
+        onFind(packet, segment, from.address);
+        return;
+    }
     if (header.type != PeerMessageType::Relay || !m_options.format.parse(packet, segment)) {
         m_counters->malformed.Increment();
         return;
@@ -163,7 +154,7 @@
     switch (decision.act) {
     case GateAct::Deliver:
         m_counters->delivered.Increment();
-        m_options.format.setMark(packet, markOf(from.address));
+        m_options.format.setMark(packet, ipv4Number(from.address));
         m_relay.send(packet, m_options.server);
         if (segment.opens()) {
             m_log.write(m_now, "flow_delivered", "flow", flowText(segment.source, segment.destination),
@@ -183,11 +174,35 @@
     }
 }
 
-void GateNode::giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason)
+void GateNode::onNote(std::span<std::uint8_t> bytes)
+{
+    FlowKey flow;
+    IpAddress holder;
+    if (!decodeNote(bytes, flow, holder)) {
+        m_counters->malformed.Increment();
+        return;
+    }
+    takeNote(m_state, flow, holder, m_now);
+}
+
+void GateNode::onFind(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer)
+{
+    const auto key = flowFromCaller(segment);
+    if (m_state.flows.contains(key)) {
+        giveBack(packet, balancer, ReturnReason::Noted, ipv4Number(m_options.relay.address));
+        return;
+    }
+    const auto *holder = notedHolder(m_state, key);
+    giveBack(packet, balancer, holder != nullptr ? ReturnReason::Noted : ReturnReason::NotNoted,
+             holder != nullptr ? ipv4Number(*holder) : 0);
+}
+
+void GateNode::giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason,
+                        std::uint32_t number)
 {
     m_counters->returned.Increment();
     const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
-    encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason});
+    encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason, .number = number});
     m_relay.send(message, {balancer, m_options.balancerPort});
 }
 
@@ -243,7 +258,7 @@
     m_counters->returned.Increment();
     const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
     encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason});
-    m_outbound.send(message, {addressOf(segment.mark), m_options.balancerPort});
+    m_outbound.send(message, {ipv4Address(segment.mark), m_options.balancerPort});
 }
 
 HeartbeatOutcome GateNode::onHeartbeat(const ServerHeartbeat &heartbeat)
@@ -308,7 +323,7 @@
         m_lastExpiry = now;
         expireFlows(m_state, now);
     }
-    m_counters->flows.Set(static_cast<double>(m_state.flows.size()));
+    m_counters->flows.Set(static_cast<double>(m_state.flows.size() - m_state.ended));
     m_counters->waiting.Set(m_state.waiting);
     m_log.flush(now);
 }
@@ -374,6 +389,7 @@
     m_log.write(steadyNow(), "flows_reset", "cause", "server_gone", "flows", m_state.flows.size());
     m_state.flows.clear();
     m_state.waiting = 0;
+    m_state.ended = 0;
 }
 
 } // namespace oriolelever
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -44,6 +44,10 @@
         return "not_ready";
     case ReturnReason::Cold:
         return "cold";
+    case ReturnReason::Noted:
+        return "noted";
+    case ReturnReason::NotNoted:
+        return "not_noted";
     }
     return "unknown";
 }
@@ -71,13 +75,13 @@
         return false;
     }
     if (bytes[1] < static_cast<std::uint8_t>(PeerMessageType::Relay)
-        || bytes[1] > static_cast<std::uint8_t>(PeerMessageType::Report)) {
+        || bytes[1] > static_cast<std::uint8_t>(PeerMessageType::Note)) {
         return false;
     }
     out.type = static_cast<PeerMessageType>(bytes[1]);
     if (out.type == PeerMessageType::Return
         && (bytes[2] < static_cast<std::uint8_t>(ReturnReason::NotHeld)
-            || bytes[2] > static_cast<std::uint8_t>(ReturnReason::Cold))) {
+            || bytes[2] > static_cast<std::uint8_t>(ReturnReason::NotNoted))) {
         return false;
     }
     out.reason = static_cast<ReturnReason>(bytes[2]);
@@ -94,6 +98,42 @@
     write64(out.data() + 4, header.number);
 }
 
+std::uint32_t ipv4Number(const IpAddress &address)
+{
+    return read32(address.bytes.data() + ipv4Offset);
+}
+
+IpAddress ipv4Address(std::uint32_t number)
+{
+    std::array<std::uint8_t, ipv4Size> bytes{};
+    write32(bytes.data(), number);
+    return mappedAddress(bytes.data());
+}
+
+void encodeNote(std::span<std::uint8_t> out, const FlowKey &flow, const IpAddress &holder)
+{
+    encodePeerHeader(out, {.type = PeerMessageType::Note, .number = ipv4Number(holder)});
+    std::uint8_t *at = out.data() + peerHeaderSize;
+    write32(at, ipv4Number(flow.caller.address));
+    write16(at + 4, flow.caller.port);
+    write32(at + 6, ipv4Number(flow.service.address));
+    write16(at + 10, flow.service.port);
+}
+
+bool decodeNote(std::span<const std::uint8_t> bytes, FlowKey &flow, IpAddress &holder)
+{
+    PeerHeader header;
+    if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Note
+        || bytes.size() != noteSize) {
+        return false;
+    }
+    const std::uint8_t *at = bytes.data() + peerHeaderSize;
+    holder = ipv4Address(static_cast<std::uint32_t>(header.number));
+    flow.caller = {ipv4Address(read32(at)), read16(at + 4)};
+    flow.service = {ipv4Address(read32(at + 6)), read16(at + 10)};
+    return true;
+}
+
 std::size_t encodeHello(std::span<std::uint8_t> out, const Hello &hello)
 {
     encodePeerHeader(out, {.type = PeerMessageType::Hello, .number = hello.lifetime});
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::uint64_t firstSequence = 1; ///< Of a server's first heartbeat.
+
 void setWaiting(GateState &state, HeldFlow &flow, bool waiting)
 {
     if (flow.waiting == waiting) {
@@ -15,6 +17,14 @@
     state.waiting += waiting ? 1 : -1;
 }
 
+// The server answers the last packets of an ended flow for a while.
+void end(GateState &state, HeldFlow &flow)
+{
+    setWaiting(state, flow, false);
+    state.ended += flow.ended ? 0 : 1;
+    flow.ended = true;
+}
+
 void forget(GateState &state, const FlowKey &key)
 {
     const auto found = state.flows.find(key);
@@ -22,6 +32,7 @@
         return;
     }
     setWaiting(state, found->second, false);
+    state.ended -= found->second.ended ? 1 : 0;
     state.flows.erase(found);
 }
 
@@ -29,6 +40,7 @@
 {
     state.flows.clear();
     state.waiting = 0;
+    state.ended = 0;
 }
 
 void noteSince(TimePoint &since, TimePoint now)
@@ -67,6 +79,10 @@
     state.openings[state.nextOpening] = now;
     state.nextOpening = (state.nextOpening + 1) % state.openings.size();
     auto &flow = state.flows[flowFromCaller(segment)];
+    if (flow.ended) {
+        --state.ended;
+        flow = {};
+    }
     flow.opening = !flow.halfOpen;
     flow.lastPacket = now;
     noteSince(state.unansweredOpening, now);
@@ -101,7 +117,7 @@
     const auto key = flowFromCaller(segment);
     const auto found = state.flows.find(key);
     if (found == state.flows.end()) {
-        if (state.server == BackendState::Gone) {
+        if (state.server == BackendState::Gone || state.sawStart) {
             return giveBack(ReturnReason::NotHeld);
         }
         return {.act = GateAct::Deliver};
@@ -115,12 +131,12 @@
     flow.lastPacket = now;
     flow.lastAcknowledgement = segment.acknowledgement;
     flow.callerEnded |= segment.fin;
-    if (segment.payloadSize > 0) {
+    if (segment.payloadSize > 0 && !flow.ended) {
         setWaiting(state, flow, true);
         noteSince(state.unansweredPayload, now);
     }
     if (segment.rst || (flow.callerEnded && flow.serverEnded)) {
-        forget(state, key);
+        end(state, flow);
     }
     return {.act = GateAct::Deliver};
 }
@@ -130,11 +146,13 @@
     state.unansweredOpening = {};
     state.unansweredPayload = {};
     const auto key = flowFromServer(segment);
+    const auto found = state.flows.find(key);
     if (segment.rst) {
-        forget(state, key);
+        if (found != state.flows.end()) {
+            end(state, found->second);
+        }
         return;
     }
-    const auto found = state.flows.find(key);
     // The last acknowledgements of an ended flow are no new flow.
     if (found == state.flows.end() && segment.payloadSize == 0 && !segment.syn) {
         return;
@@ -151,7 +169,7 @@
     }
     flow.serverEnded |= segment.fin;
     if (flow.callerEnded && flow.serverEnded) {
-        forget(state, key);
+        end(state, flow);
     }
 }
 
@@ -196,6 +214,7 @@
     state.unansweredPayload = {};
     state.heartbeat = std::move(heartbeat);
     if (isNewStart) {
+        state.sawStart = known || state.heartbeat.sequence == firstSequence;
         return HeartbeatOutcome::NewStart;
     }
     return before == state.server ? HeartbeatOutcome::Taken : HeartbeatOutcome::Changed;
@@ -249,15 +268,34 @@
     return static_cast<std::uint32_t>(used) + state.options.coldReserve < state.coldFlowsPerSecond;
 }
 
+void takeNote(GateState &state, const FlowKey &flow, const IpAddress &holder, TimePoint now)
+{
+    if (state.notes.size() >= state.options.maxNotes && !state.notes.contains(flow)) {
+        return;
+    }
+    state.notes[flow] = {.holder = holder, .noted = now};
+}
+
+const IpAddress *notedHolder(const GateState &state, const FlowKey &flow)
+{
+    const auto found = state.notes.find(flow);
+    return found == state.notes.end() ? nullptr : &found->second.holder;
+}
+
 void expireFlows(GateState &state, TimePoint now)
 {
-    const auto limit = state.idleLimit > std::chrono::milliseconds::zero() ? state.idleLimit
-                                                                           : state.options.defaultIdleLimit;
+    std::erase_if(state.notes,
+                  [&](const auto &entry) { return now - entry.second.noted > state.options.noteLimit; });
+    const auto idle = state.idleLimit > std::chrono::milliseconds::zero() ? state.idleLimit
+                                                                          : state.options.defaultIdleLimit;
     std::erase_if(state.flows, [&](const auto &entry) {
         const auto &flow = entry.second;
-        const bool ended = now - flow.lastPacket > limit;
-        state.waiting -= ended && flow.waiting ? 1 : 0;
-        return ended;
+        // Twice the limit, as the server may keep a flow for a while longer than it must.
+        const auto limit = flow.ended ? state.options.endedLimit : 2 * idle;
+        const bool expired = now - flow.lastPacket > limit;
+        state.waiting -= expired && flow.waiting ? 1 : 0;
+        state.ended -= expired && flow.ended ? 1 : 0;
+        return expired;
     });
 }
 
@@ -271,7 +309,7 @@
         .zone = known ? idOf<ZoneId>(state.heartbeat.zone) : state.options.zone,
         .state = state.server,
         .slots = known ? state.heartbeat.slots : std::uint16_t{1},
-        .flows = static_cast<std::uint32_t>(state.flows.size()),
+        .flows = static_cast<std::uint32_t>(state.flows.size()) - state.ended,
         .waiting = state.waiting,
         .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
         .bornAt = state.heartbeat.bornAt,
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -174,14 +174,7 @@
 void SteeringNode::setListed(const std::vector<IpAddress> &hosts)
 {
     const auto now = steadyNow();
-    m_state.rosterKnown = true;
-    for (auto &backend : m_state.backends) {
-        backend.listed = false;
-    }
-    for (const auto &host : hosts) {
-        const auto index = backendOn(m_state, host, now);
-        m_state.backends[index].listed = true;
-    }
+    takeRoster(m_state, hosts, now);
     m_log.write(now, "agents_listed", "count", hosts.size(), "known", m_state.backends.size());
     tick();
 }
@@ -220,22 +213,41 @@
     }
     // The header goes into the free bytes before the packet.
     const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
-    encodePeerHeader(message, {.type = PeerMessageType::Relay, .number = decision.service.value});
+    const auto type = decision.act == SteeringAct::Ask ? PeerMessageType::Find : PeerMessageType::Relay;
+    encodePeerHeader(message, {.type = type, .number = decision.service.value});
     m_link.send(message, {m_state.backends[decision.backend].host, m_options.agentPort});
+    if (decision.note) {
+        sendNotes(flowFromCaller(segment), m_state.backends[decision.backend].host);
+    }
+}
+
+void SteeringNode::sendNotes(const FlowKey &flow, const IpAddress &holder)
+{
+    std::array<std::uint8_t, noteSize> note{};
+    encodeNote(note, flow, holder);
+    const auto directories = directoriesOf(m_state, flow, m_now);
+    for (std::size_t i = 0; i < noteCopies; ++i) {
+        if (directories[i] != noBackend) {
+            m_link.sendCopy(note, {m_state.backends[directories[i]].host, m_options.agentPort});
+        }
+    }
 }
 
 void SteeringNode::logDecision(const SteeringDecision &decision, const Segment &segment)
 {
     const auto flow = flowText(segment.source, segment.destination);
     const auto cause = toString(decision.cause);
-    if (decision.act != SteeringAct::Forward) {
+    if (decision.act == SteeringAct::Reset || decision.act == SteeringAct::Drop) {
         m_log.write(m_now, decision.act == SteeringAct::Reset ? "flow_reset" : "packet_dropped", "flow", flow,
                     "cause", cause, "version", m_state.table.version, "opening", segment.opens());
         return;
     }
     const auto &backend = m_state.backends[decision.backend];
-    m_log.write(m_now, decision.cause == SteeringCause::Searching ? "flow_search" : "flow_placed", "flow",
-                flow, "cause", cause, "server", toString(backend.host), "load",
+    m_log.write(m_now,
+                decision.cause == SteeringCause::Searching || decision.cause == SteeringCause::Asking
+                    ? "flow_search"
+                    : "flow_placed",
+                "flow", flow, "cause", cause, "server", toString(backend.host), "load",
                 loadOf(m_state.options, backend), "report_age_ms", m_now - backend.reported, "version",
                 m_state.table.version);
 }
@@ -255,7 +267,7 @@
     if (header.type == PeerMessageType::Report) {
         onReport(bytes, from);
     } else if (header.type == PeerMessageType::Return) {
-        onReturned(bytes.subspan(peerHeaderSize), header.reason, from);
+        onReturned(bytes.subspan(peerHeaderSize), header, from);
     }
 }
 
@@ -282,7 +294,7 @@
     }
 }
 
-void SteeringNode::onReturned(std::span<std::uint8_t> bytes, ReturnReason reason, const Endpoint &from)
+void SteeringNode::onReturned(std::span<std::uint8_t> bytes, const PeerHeader &header, const Endpoint &from)
 {
     Segment segment;
     const auto found = m_state.byHost.find(from.address);
@@ -291,8 +303,10 @@
         return;
     }
     m_log.write(m_now, "packet_returned", "flow", flowText(segment.source, segment.destination), "server",
-                toString(from.address), "reason", toString(reason), "opening", segment.opens());
-    carryOut(steerReturned(m_state, segment, found->second, reason, m_now), segment, bytes);
+                toString(from.address), "reason", toString(header.reason), "opening", segment.opens());
+    carryOut(steerReturned(m_state, segment, found->second, header.reason,
+                           ipv4Address(static_cast<std::uint32_t>(header.number)), m_now),
+             segment, bytes);
 }
 
 void SteeringNode::greet(BackendIndex index)
@@ -311,7 +325,7 @@
         .lifetime = m_options.lifetime,
         .coldFlowsPerSecond = coldLimit,
         .idleLimit = m_state.table.idleLimit,
-        .unlisted = m_state.rosterKnown && !backend.listed,
+        .unlisted = backend.missing,
     };
     std::array<std::uint8_t, maxPeerMessageSize> bytes{};
     const auto size = encodeHello(bytes, hello);
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -7,6 +7,16 @@
 
 namespace {
 
+// Finalizer of MurmurHash3: every bit of the input changes every bit of the output.
+std::uint64_t mixHash(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33);
+}
+
 bool contains(const std::vector<BackendIndex> &indexes, BackendIndex index)
 {
     return std::find(indexes.begin(), indexes.end(), index) != indexes.end();
@@ -137,15 +147,88 @@
     });
 }
 
-SteeringDecision searchOn(SteeringState &state, const VirtualRoute &route, SteeredFlow &flow, TimePoint now)
+SteeringDecision ask(SteeredFlow &flow, BackendIndex agent)
 {
+    flow.holder = agent;
+    flow.asking = true;
+    return {.act = SteeringAct::Ask, .cause = SteeringCause::Asking, .backend = agent};
+}
+
+// Notes come first: to offer a packet to servers that do not hold its flow costs time, and must not go on for
+// long.
+SteeringDecision searchOn(SteeringState &state, const VirtualRoute &route, SteeredFlow &flow,
+                          const Segment &segment, TimePoint now)
+{
+    flow.found = false;
+    flow.asking = false;
+    flow.offeredSequence = segment.sequence;
+    flow.offeredAcknowledgement = segment.acknowledgement;
+    flow.offered = now;
+    const auto directories = directoriesOf(state, flowFromCaller(segment), now);
+    while (flow.asked < directories.size()) {
+        const auto agent = directories[flow.asked++];
+        if (agent != noBackend && isHeard(state, state.backends[agent], now)) {
+            return ask(flow, agent);
+        }
+    }
     flow.holder = nextToAsk(state, route, flow, now);
     if (flow.holder != noBackend) {
         return forward(SteeringCause::Searching, flow.holder);
     }
+    const bool allAnswered = !flow.unclear && allCouldBeAsked(state, now);
     flow.exhausted = now;
     flow.tried.clear();
-    return allCouldBeAsked(state, now) ? refuse(SteeringCause::NotHeld) : drop(SteeringCause::Undecided);
+    flow.asked = 0;
+    flow.unclear = false;
+    return allAnswered ? refuse(SteeringCause::NotHeld) : drop(SteeringCause::Undecided);
+}
+
+SteeringDecision followHolder(SteeredFlow &flow)
+{
+    auto decision = forward(SteeringCause::Known, flow.holder);
+    decision.note = !flow.noted;
+    flow.noted = true;
+    return decision;
+}
+
+// A packet of a flow that the holder was offered by a search. A caller that repeats the offered packet has
+// heard nothing: a server that is down gives nothing back.
+SteeringDecision steerOffered(SteeringState &state, const VirtualRoute &route, SteeredFlow &flow,
+                              const Segment &segment, TimePoint now)
+{
+    const bool isRepeated
+        = segment.sequence == flow.offeredSequence && now - flow.offered >= state.options.searchPause;
+    if (flow.asking) {
+        return isRepeated ? searchOn(state, route, flow, segment, now) : ask(flow, flow.holder);
+    }
+    if (segment.acknowledgement != flow.offeredAcknowledgement) {
+        flow.found = true;
+        flow.tried.clear();
+        return followHolder(flow);
+    }
+    if (!isRepeated) {
+        return forward(SteeringCause::Known, flow.holder);
+    }
+    flow.unclear = true;
+    flow.tried.push_back(flow.holder);
+    return searchOn(state, route, flow, segment, now);
+}
+
+// The answer of an agent that was asked for a note: the noted holder, or `noBackend`.
+SteeringDecision steerAnswered(SteeringState &state, const VirtualRoute &route, SteeredFlow &flow,
+                               const Segment &segment, BackendIndex from, BackendIndex noted, TimePoint now)
+{
+    if (flow.found || !flow.asking || flow.holder != from) {
+        return flow.asking ? drop(SteeringCause::Asking) : forward(SteeringCause::Known, flow.holder);
+    }
+    if (noted == noBackend || contains(flow.tried, noted)) {
+        return searchOn(state, route, flow, segment, now);
+    }
+    flow.asking = false;
+    flow.found = true;
+    flow.noted = true;
+    flow.holder = noted;
+    return forward(SteeringCause::Searching, noted);
 }
 
 SteeringDecision steerOpening(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
@@ -155,10 +238,8 @@
     auto &flow = found->second;
     const bool isCopy = !isNew && flow.holder != noBackend && now - flow.opened < state.options.openingLimit;
     flow.lastPacket = now;
-    flow.idempotent = route.idempotent;
     if (!isCopy) {
-        flow.tried.clear();
-        flow.opened = now;
+        flow = {.lastPacket = now, .opened = now};
         return placeFlow(state, route, key, flow, SteeringCause::Placed, now);
     }
     const auto &holder = state.backends[flow.holder];
@@ -180,6 +261,8 @@
         return "placed";
     case SteeringCause::Moved:
         return "moved";
+    case SteeringCause::Asking:
+        return "asking";
     case SteeringCause::Searching:
         return "searching";
     case SteeringCause::NotReady:
@@ -203,11 +286,22 @@
     const auto next = static_cast<BackendIndex>(state.backends.size());
     const auto [found, isNew] = state.byHost.try_emplace(host, next);
     if (isNew) {
-        state.backends.push_back({.host = host, .introduced = now});
+        state.backends.push_back({.host = host, .hash = AddressHash{}(host), .introduced = now});
     }
     return found->second;
 }
 
+void takeRoster(SteeringState &state, const std::vector<IpAddress> &hosts, TimePoint now)
+{
+    for (auto &backend : state.backends) {
+        backend.missing = now - backend.introduced > state.options.entryTime && isHeard(state, backend, now);
+    }
+    for (const auto &host : hosts) {
+        state.backends[backendOn(state, host, now)].missing = false;
+    }
+    state.rosterKnown = true;
+}
+
 void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now)
 {
     auto &backend = state.backends[index];
@@ -274,6 +368,34 @@
     return bestNear != noBackend && nearIsGood ? bestNear : best;
 }
 
+std::array<BackendIndex, noteAgents> directoriesOf(const SteeringState &state, const FlowKey &flow,
+                                                   TimePoint now)
+{
+    std::array<BackendIndex, noteAgents> best{};
+    std::array<std::uint64_t, noteAgents> scores{};
+    best.fill(noBackend);
+    const std::uint64_t flowHash = hashFlow(flow);
+    for (std::size_t i = 0; i < state.backends.size(); ++i) {
+        const auto &backend = state.backends[i];
+        const auto lastSign = std::max(backend.reported, backend.introduced);
+        if (now - lastSign > state.options.lostAfter) {
+            continue;
+        }
+        auto index = static_cast<BackendIndex>(i);
+        auto score = mixHash(flowHash ^ backend.hash);
+        for (std::size_t place = 0; place < best.size(); ++place) {
+            if (best[place] == noBackend || score > scores[place]) {
+                std::swap(best[place], index);
+                std::swap(scores[place], score);
+            }
+            if (index == noBackend) {
+                break;
+            }
+        }
+    }
+    return best;
+}
+
 SteeringDecision steerCallerPacket(SteeringState &state, const Segment &segment, TimePoint now)
 {
     if (!state.configured || !state.rosterKnown) {
@@ -294,22 +416,22 @@
     const auto [found, isNew] = state.flows.try_emplace(key);
     auto &flow = found->second;
     flow.lastPacket = now;
-    flow.idempotent = route->second.idempotent;
-    if (flow.holder != noBackend) {
+    if (flow.holder != noBackend && segment.rst && !flow.asking) {
         const auto holder = flow.holder;
-        if (segment.rst) {
-            state.flows.erase(found);
-        }
+        state.flows.erase(found);
         return forward(SteeringCause::Known, holder);
     }
-    if (!isNew && now - flow.exhausted < state.options.searchPause) {
+    if (flow.holder != noBackend) {
+        return flow.found ? followHolder(flow) : steerOffered(state, route->second, flow, segment, now);
+    }
+    if (!isNew && now - flow.exhausted < state.options.undecidedPause) {
         return drop(SteeringCause::Undecided);
     }
-    return searchOn(state, route->second, flow, now);
+    return searchOn(state, route->second, flow, segment, now);
 }
 
 SteeringDecision steerReturned(SteeringState &state, const Segment &segment, BackendIndex from,
-                               ReturnReason reason, TimePoint now)
+                               ReturnReason reason, const IpAddress &holder, TimePoint now)
 {
     const auto key = flowFromCaller(segment);
     const auto route = state.table.routes.find(segment.destination);
@@ -318,6 +440,13 @@
         return drop(SteeringCause::NoRoute);
     }
     auto &flow = found->second;
+    if (flow.holder == noBackend) {
+        return drop(SteeringCause::Undecided);
+    }
+    if (reason == ReturnReason::Noted || reason == ReturnReason::NotNoted) {
+        return steerAnswered(state, route->second, flow, segment, from,
+                             reason == ReturnReason::Noted ? backendOn(state, holder, now) : noBackend, now);
+    }
     if (reason == ReturnReason::NotReady && segment.opens()) {
         // The agent's next report tells when its server takes flows again.
         state.backends[from].report.state = BackendState::Unknown;
@@ -325,16 +454,15 @@
     if (!contains(flow.tried, from)) {
         flow.tried.push_back(from);
     }
-    if (flow.holder == noBackend) {
-        return drop(SteeringCause::Undecided);
-    }
-    if (flow.holder != from) {
-        return segment.opens() ? drop(SteeringCause::Moved) : forward(SteeringCause::Searching, flow.holder);
+    if (flow.holder != from || flow.asking) {
+        return segment.opens() || flow.asking ? drop(SteeringCause::Moved)
+                                              : forward(SteeringCause::Searching, flow.holder);
     }
     if (segment.opens()) {
         return placeFlow(state, route->second, key, flow, SteeringCause::Moved, now);
     }
-    return searchOn(state, route->second, flow, now);
+    flow.noted = false;
+    return searchOn(state, route->second, flow, segment, now);
 }
 
 void expireFlows(SteeringState &state, TimePoint now)
