Agents that came up with their server answer for it; undecided searches pause ever longer

No agent had heard its server's first heartbeat, so each packet went to each server and came back; an agent whose server never came up again gave nothing back, and the search stayed undecided and began anew every 1.5 s: 390,000 searches in a second. Ruled out: a loop between two agents (each search asked every agent once). Change: an agent compares its server's start with its own by the clock that both read and answers for the server if no earlier agent can have served it; so does one that has heard no server for 3 s; the pause after undecided searches doubles.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -38,6 +38,7 @@
     std::uint32_t coldReserve = 1; ///< Flows kept free under the limit.
     std::chrono::milliseconds answerLimit{100}; ///< A server answers an opening packet in a few milliseconds.
     std::chrono::milliseconds requestLimit{400}; ///< Payload without any packet of the server.
+    std::chrono::milliseconds restartTime{400}; ///< No agent ran on the host for this long before a start.
     std::chrono::milliseconds endedLimit{5000}; ///< Longer than a caller repeats its last packet.
     std::chrono::milliseconds noteLimit{75000}; ///< Longer than the 60 s for which flows are kept whole.
     std::size_t maxNotes = 20000; ///< Two megabytes.
@@ -70,6 +71,7 @@
 {
     GateOptions options;
     TimePoint started{}; ///< Start of the agent.
+    std::chrono::milliseconds startedAt{0}; ///< The same by the time of day, since 1970.
     BackendState server = BackendState::Unknown;
     ServerHeartbeat heartbeat; ///< The last one taken.
     TimePoint heard{}; ///< When it came.
@@ -114,7 +116,9 @@
 
 std::string_view toString(HeartbeatOutcome outcome);
 
-HeartbeatOutcome takeHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now);
+/// `timeOfDay` is the time since 1970 by the host's clock.
+HeartbeatOutcome takeHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now,
+                               std::chrono::milliseconds timeOfDay);
 
 /// The server has left. False if the call is of another server than the present one.
 bool takeDeparture(GateState &state, std::string_view id);
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -16,6 +16,12 @@
     return std::chrono::steady_clock::now();
 }
 
+std::chrono::milliseconds timeOfDay()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace
 
 struct GateNode::Counters
@@ -91,6 +97,7 @@
 {
     const auto now = steadyNow();
     m_state.started = now;
+    m_state.startedAt = timeOfDay();
     BOOST_LEAF_CHECK(
         m_relay.open(m_options.relay, [this](std::span<std::uint8_t> bytes, const Endpoint &from) {
             onRelayed(bytes, from);
@@ -265,7 +272,7 @@
 {
     const auto now = steadyNow();
     const auto before = m_state.server;
-    const auto outcome = takeHeartbeat(m_state, heartbeat, now);
+    const auto outcome = takeHeartbeat(m_state, heartbeat, now, timeOfDay());
     if (outcome != HeartbeatOutcome::Taken || before != m_state.server) {
         m_log.write(now, "server_heartbeat", "outcome", toString(outcome), "server_id", heartbeat.id,
                     "born_at", heartbeat.bornAt, "sequence", heartbeat.sequence, "state",
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -60,6 +60,26 @@
     return {.act = GateAct::Return, .reason = reason};
 }
 
+// Compares the server's start with the agent's by the clock that both read. A clock that was set in between
+// tells nothing.
+bool startedBeforeServer(const GateState &state, TimePoint now, std::chrono::milliseconds timeOfDay)
+{
+    constexpr std::chrono::milliseconds clockTolerance{50};
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.started);
+    const auto drift = timeOfDay - state.startedAt - elapsed;
+    const std::chrono::milliseconds born(static_cast<std::int64_t>(state.heartbeat.bornAt));
+    return std::chrono::abs(drift) < clockTolerance && born > state.startedAt - state.options.restartTime;
+}
+
+// A flow that the agent does not know is not the server's either: the agent has seen all of them, or there is
+// no server.
+bool knowsAllFlows(const GateState &state, TimePoint now)
+{
+    const bool neverHeard = state.heard == TimePoint{} && now - state.started > state.options.heartbeatLimit;
+    return state.sawStart || neverHeard || state.server == BackendState::Gone
+        || state.server == BackendState::Silent;
+}
+
 ServiceId currentService(const GateState &state)
 {
     return state.heard != TimePoint{} ? idOf<ServiceId>(state.heartbeat.service) : state.options.service;
@@ -117,10 +137,8 @@
     const auto key = flowFromCaller(segment);
     const auto found = state.flows.find(key);
     if (found == state.flows.end()) {
-        if (state.server == BackendState::Gone || state.sawStart) {
-            return giveBack(ReturnReason::NotHeld);
-        }
-        return {.act = GateAct::Deliver};
+        return knowsAllFlows(state, now) ? giveBack(ReturnReason::NotHeld)
+                                         : GateDecision{.act = GateAct::Deliver};
     }
     auto &flow = found->second;
     if (flow.halfOpen && segment.ack && !acknowledgesOpening(flow, segment)) {
@@ -189,7 +207,8 @@
     return ReturnReason::NotHeld;
 }
 
-HeartbeatOutcome takeHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now)
+HeartbeatOutcome takeHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now,
+                               std::chrono::milliseconds timeOfDay)
 {
     const auto &last = state.heartbeat;
     const bool known = state.heard != TimePoint{};
@@ -214,7 +233,8 @@
     state.unansweredPayload = {};
     state.heartbeat = std::move(heartbeat);
     if (isNewStart) {
-        state.sawStart = known || state.heartbeat.sequence == firstSequence;
+        state.sawStart = known || state.heartbeat.sequence == firstSequence
+            || startedBeforeServer(state, now, timeOfDay);
         return HeartbeatOutcome::NewStart;
     }
     return before == state.server ? HeartbeatOutcome::Taken : HeartbeatOutcome::Changed;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -17,6 +17,8 @@
     return value ^ (value >> 33);
 }
 
+constexpr std::uint8_t maxPauseDoublings = 4; ///< Of the pause after undecided searches: 24 s.
+
 bool contains(const std::vector<BackendIndex> &indexes, BackendIndex index)
 {
     return std::find(indexes.begin(), indexes.end(), index) != indexes.end();
@@ -147,6 +149,12 @@
     });
 }
 
+Duration undecidedPause(const SteeringState &state, const SteeredFlow &flow)
+{
+    const int doublings = flow.undecided > 0 ? flow.undecided - 1 : 0;
+    return state.options.undecidedPause * (1 << doublings);
+}
+
 SteeringDecision ask(SteeredFlow &flow, BackendIndex agent)
 {
     flow.holder = agent;
@@ -176,6 +184,7 @@
         return forward(SteeringCause::Searching, flow.holder);
     }
     const bool allAnswered = !flow.unclear && allCouldBeAsked(state, now);
+    flow.undecided = std::min<std::uint8_t>(flow.undecided + 1, maxPauseDoublings);
     flow.exhausted = now;
     flow.tried.clear();
     flow.asked = 0;
@@ -424,7 +433,7 @@
     if (flow.holder != noBackend) {
         return flow.found ? followHolder(flow) : steerOffered(state, route->second, flow, segment, now);
     }
-    if (!isNew && now - flow.exhausted < state.options.undecidedPause) {
+    if (!isNew && now - flow.exhausted < undecidedPause(state, flow)) {
         return drop(SteeringCause::Undecided);
     }
     return searchOn(state, route->second, flow, segment, now);
