Tests of the adapter, the path over loopback and the structured log; explain; flows of a restarted server are reset at once

Cause: a flow that only one server was ever offered was searched at all others after that server had started anew, and entries of agents that had left kept searches undecided for 3 s. 'explain' puts the story of a flow together from the structured logs.

--- a/include/oriolelever/commands.h
+++ b/include/oriolelever/commands.h
@@ -11,6 +11,8 @@
 Command agentCommand();
 /// Prints the table of result codes.
 Command codesCommand();
+/// Tells the story of one request or flow from structured logs.
+Command explainCommand();
 /// Prints every setting of every role.
 Command settingsCommand();
 /// Makes a token of an operator.
--- a/include/oriolelever/http-service.h
+++ b/include/oriolelever/http-service.h
@@ -38,6 +38,9 @@
     HttpService(const HttpService &) = delete;
     HttpService &operator=(const HttpService &) = delete;
 
+    /// The port that is listened on, once the event loop runs; 0 before.
+    std::uint16_t port() const;
+
     /// Closes all connections.
     void close();
 
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -25,8 +25,9 @@
     std::chrono::milliseconds silentAfter{700}; ///< Three and a half report periods without a report.
     std::chrono::milliseconds settleTime{400}; ///< Two report periods, for the first report of an agent.
     std::chrono::milliseconds entryTime{3000}; ///< An agent that has just started may not have its entry yet.
-    std::chrono::milliseconds lostAfter{
-        3000}; ///< A silent agent no longer keeps an unknown flow from being reset.
+    /// A silent agent no longer keeps an unknown flow from being reset: twice the 0.65 s of a planned
+    /// restart.
+    std::chrono::milliseconds lostAfter{1500};
     std::chrono::milliseconds searchPause{150}; ///< Shorter than a caller's first retransmission, 200 ms.
     /// After a search that stayed undecided: longer than most callers wait for an answer, so that a flow's
     /// packets are not offered to other servers again and again while its own agent restarts.
@@ -69,6 +70,7 @@
     bool noted = false; ///< Notes of the holder were sent.
     std::uint8_t undecided = 0; ///< Searches in a row that stayed undecided.
     std::uint8_t asked = 0; ///< Agents that the search has asked for a note.
+    bool single = false; ///< No other server was ever offered its opening packet.
     bool unclear = false; ///< An agent of the search neither kept nor gave back the packet.
     std::uint32_t offeredSequence = 0; ///< Of the packet that the holder was offered.
     std::uint32_t offeredAcknowledgement = 0; ///< Of the same packet; it grows once the server answers.
--- /dev/null
+++ b/src/cmd-explain.cc
@@ -0,0 +1,66 @@
+#include "oriolelever/commands.h"
+
+#include <fstream>
+
+#include <absl/flags/flag.h>
+#include <fmt/format.h>
+
+#include "oriolelever/explain.h"
+
+ABSL_FLAG(std::string, id, "", "id of the request to explain");
+ABSL_FLAG(std::string, flow, "", "ADDRESS:PORT of the caller whose flow is to be explained");
+
+namespace oriolelever {
+
+namespace {
+
+void printEvent(const LogEvent &event, std::int64_t start)
+{
+    std::string fields;
+    for (const auto &[name, value] : event.fields.items()) {
+        if (name == "at" || name == "node" || name == "event" || name == "lifetime" || name == "steady_us") {
+            continue;
+        }
+        fields += fmt::format(" {}={}", name, value.is_string() ? value.get<std::string>() : value.dump());
+    }
+    fmt::print("{:>8} ms  {}  {}{}\n", event.at - start, event.node, event.event, fields);
+}
+
+int runExplain(Arguments files)
+{
+    const ExplainSubject subject{.flow = absl::GetFlag(FLAGS_flow), .request = absl::GetFlag(FLAGS_id)};
+    if (subject.flow.empty() == subject.request.empty()) {
+        return usageError("explain needs either --id or --flow");
+    }
+    if (files.empty()) {
+        return usageError("explain needs at least one LOG");
+    }
+    LogReading reading;
+    for (const auto &file : files) {
+        std::ifstream stream(file);
+        if (!stream) {
+            return usageError(fmt::format("log \"{}\" cannot be read", file));
+        }
+        readLog(stream, reading);
+    }
+    const auto story = explain(reading, subject);
+    for (const auto &event : story.events) {
+        printEvent(event, story.events.front().at);
+    }
+    fmt::print("events: {}\nunreadable lines: {}\noutcome: {}\ncause: {}\n", story.events.size(),
+               reading.unreadable, story.outcome, story.cause);
+    return story.events.empty() ? exitOutcomeMissed : exitOk;
+}
+
+} // namespace
+
+Command explainCommand()
+{
+    return {.name = "explain",
+            .usage = "(--id ID | --flow ADDRESS:PORT) LOG...",
+            .summary = "Tells the story of one request or flow from the logs of several processes.",
+            .flags = {"id", "flow"},
+            .run = runExplain};
+}
+
+} // namespace oriolelever
--- a/src/http-service.cc
+++ b/src/http-service.cc
@@ -20,6 +20,7 @@
 {
     restinio::http_server_t<Traits> http;
     std::string address;
+    std::uint16_t port = 0;
 };
 
 HttpService::HttpService(asio::io_context &context, const Endpoint &address, Handler handler)
@@ -32,6 +33,8 @@
                  .buffer_size(readBufferBytes)
                  .read_next_http_message_timelimit(idleConnectionLimit)
                  .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}.max_body_size(maxBodyBytes))
+                 .acceptor_post_bind_hook(
+                     [this](auto &acceptor) { m_server->port = acceptor.local_endpoint().port(); })
                  .request_handler([handler = std::move(handler)](const restinio::request_handle_t &request) {
                      const auto reply = handler({.method = request->header().method().c_str(),
                                                  .path = std::string(request->header().path()),
@@ -57,6 +60,11 @@
 
 HttpService::~HttpService() = default;
 
+std::uint16_t HttpService::port() const
+{
+    return m_server->port;
+}
+
 void HttpService::close()
 {
     m_server->http.close_async([] {}, [](const std::exception_ptr &) {});
--- a/src/main.cc
+++ b/src/main.cc
@@ -11,6 +11,7 @@
         oriolelever::checkCommand(),
         oriolelever::codesCommand(),
         oriolelever::drainCommand(),
+        oriolelever::explainCommand(),
         oriolelever::setCommand(),
         oriolelever::settingsCommand(),
         oriolelever::statusCommand(),
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -105,6 +105,7 @@
         state.flows.erase(key);
         return isSettled(state, now) ? refuse(SteeringCause::NoServer) : drop(SteeringCause::NotReady);
     }
+    flow.single = cause == SteeringCause::Placed;
     flow.holder = placement.backend;
     ++state.backends[placement.backend].placed;
     return forward(cause, placement.backend, placement.service);
@@ -470,6 +471,11 @@
     if (segment.opens()) {
         return placeFlow(state, route->second, key, flow, SteeringCause::Moved, now);
     }
+    if (flow.found && flow.single && reason == ReturnReason::NotHeld) {
+        // Only this server can have had the flow: it has started anew since.
+        state.flows.erase(found);
+        return refuse(SteeringCause::NotHeld);
+    }
     flow.noted = false;
     return searchOn(state, route->second, flow, segment, now);
 }
--- a/support/lint.sh
+++ b/support/lint.sh
@@ -8,7 +8,7 @@
 if [ $# -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files -co --exclude-standard -- 'src/*.cc' 'lab/*.cc' 'test/*.cc' 'bench/*.cc' | grep -vE '\.pb\.cc$')
+    mapfile -t files < <(git ls-files -co --exclude-standard -- 'src/*.cc' 'lab/*.cc' 'platform/*.cc' 'test/*.cc' 'bench/*.cc' | grep -vE '\.pb\.cc$')
 fi
 printf '%s\0' "${files[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy -p "$build" --quiet \
     --extra-arg=-Wno-unknown-warning-option --extra-arg=-Wno-gnu-statement-expression 2> /dev/null
--- /dev/null
+++ b/test/event-log-test.cc
@@ -0,0 +1,90 @@
+#include "oriolelever/event-log.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace oriolelever {
+namespace {
+
+using std::chrono::milliseconds;
+
+class EventLogTest : public testing::Test
+{
+protected:
+    std::vector<nlohmann::json> lines()
+    {
+        std::vector<nlohmann::json> parsed;
+        std::istringstream stream(written);
+        for (std::string line; std::getline(stream, line);) {
+            parsed.push_back(nlohmann::json::parse(line));
+        }
+        return parsed;
+    }
+
+    std::string written;
+    std::size_t room = SIZE_MAX; ///< Bytes that the reader takes.
+    TimePoint now{std::chrono::hours(1)};
+    EventLog log{{.node = "front-1", .lifetime = 7, .linesPerSecond = 3, .bufferBytes = 2000},
+                 [this](const char *bytes, std::size_t size) {
+                     const auto taken = std::min(size, room);
+                     room -= taken;
+                     written.append(bytes, taken);
+                     return taken;
+                 },
+                 [] {
+                     return std::int64_t{1'700'000'000'000};
+                 }};
+};
+
+TEST_F(EventLogTest, ALineIsOneJsonObject)
+{
+    log.write(now, "flow_placed", "flow", std::string("a>b"), "load", 2.5, "opening", true, "age_ms",
+              milliseconds(40), "text", "quote \" backslash \\ newline \n byte \xff");
+    log.flush(now);
+    ASSERT_EQ(lines().size(), 1U);
+    const auto line = lines()[0];
+    EXPECT_EQ(line["event"], "flow_placed");
+    EXPECT_EQ(line["node"], "front-1");
+    EXPECT_EQ(line["lifetime"], 7);
+    EXPECT_EQ(line["at"], 1'700'000'000'000);
+    EXPECT_EQ(line["steady_us"], 3'600'000'000);
+    EXPECT_EQ(line["load"], 2.5);
+    EXPECT_EQ(line["opening"], true);
+    EXPECT_EQ(line["age_ms"], 40.0);
+    EXPECT_EQ(line["text"], "quote \" backslash \\ newline \n byte \u00ff");
+}
+
+TEST_F(EventLogTest, LinesOfAnEventAreBoundedAndTheRestIsCounted)
+{
+    for (int i = 0; i < 10; ++i) {
+        log.write(now, "flow_reset");
+    }
+    log.write(now, "started");
+    log.flush(now);
+    EXPECT_EQ(lines().size(), 4U);
+    EXPECT_EQ(log.suppressed(), 7U);
+    now += milliseconds(1000);
+    log.flush(now);
+    const auto summary = lines().back();
+    EXPECT_EQ(summary["event"], "suppressed");
+    EXPECT_EQ(summary["of"], "flow_reset");
+    EXPECT_EQ(summary["lines"], 7);
+}
+
+TEST_F(EventLogTest, AReaderThatStopsLosesLinesAndNothingElse)
+{
+    room = 0;
+    for (int i = 0; i < 1000; ++i) {
+        log.write(now, "flow_reset", "text", "some text that fills the buffer");
+        log.flush(now);
+        now += milliseconds(1000);
+    }
+    EXPECT_GT(log.suppressed(), 900U);
+    room = SIZE_MAX;
+    log.flush(now);
+    EXPECT_LT(written.size(), 4000U);
+    EXPECT_FALSE(lines().empty());
+}
+
+} // namespace
+} // namespace oriolelever
--- /dev/null
+++ b/test/explain-test.cc
@@ -0,0 +1,98 @@
+#include "oriolelever/explain.h"
+
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace oriolelever {
+namespace {
+
+LogReading read(const std::string &text)
+{
+    LogReading reading;
+    std::istringstream stream(text);
+    readLog(stream, reading);
+    return reading;
+}
+
+// Lines of a played day: a flow is opened, its server starts anew, its next packet is reset.
+const std::string balancer
+    = R"({"at":1000,"node":"front-1","lifetime":1,"event":"flow_placed","flow":"100.64.0.7:4001>198.18.0.1:443","cause":"placed","server":"10.1.0.8","load":4.5,"report_age_ms":20.1,"version":12}
+{"at":1005,"node":"front-1","lifetime":1,"event":"flow_placed","flow":"100.64.0.7:4002>198.18.0.1:443","cause":"placed","server":"10.1.0.9","load":4.5,"report_age_ms":20.1,"version":12}
+{"at":9030,"node":"front-1","lifetime":1,"event":"server_state","server":"10.1.0.8","state":"ready","before":"silent"}
+{"at":9100,"node":"front-1","lifetime":1,"event":"packet_returned","flow":"100.64.0.7:4001>198.18.0.1:443","server":"10.1.0.8","reason":"not_held","opening":false}
+{"at":9100,"node":"front-1","lifetime":1,"event":"flow_reset","flow":"100.64.0.7:4001>198.18.0.1:443","cause":"not_held","version":12,"opening":false}
+)";
+const std::string agent
+    = R"({"at":1001,"node":"side-1","lifetime":5,"event":"flow_delivered","flow":"100.64.0.7:4001>198.18.0.1:443","balancer":"10.1.0.2"}
+{"at":9020,"node":"side-1","lifetime":6,"event":"server_heartbeat","outcome":"new_start","born_at":8990}
+{"at":9099,"node":"side-1","lifetime":6,"event":"packet_returned","flow":"100.64.0.7:4001>198.18.0.1:443","reason":"not_held"}
+)";
+
+TEST(ExplainTest, AResetFlowIsTracedToItsServersNewStart)
+{
+    const auto story = explain(read(balancer + agent), {.flow = "100.64.0.7:4001"});
+    std::vector<std::string> names;
+    for (const auto &event : story.events) {
+        names.push_back(event.node + " " + event.event);
+    }
+    const std::vector<std::string> expected{"front-1 flow_placed",     "side-1 flow_delivered",
+                                            "side-1 server_heartbeat", "front-1 server_state",
+                                            "side-1 packet_returned",  "front-1 packet_returned",
+                                            "front-1 flow_reset"};
+    EXPECT_EQ(names, expected);
+    EXPECT_EQ(story.outcome, "402 outcome-unknown");
+    EXPECT_EQ(story.cause, "front-1 reset the flow: no server holds it, its server has left or started anew");
+}
+
+TEST(ExplainTest, ARefusedFlowIsTracedToItsReason)
+{
+    const auto story = explain(
+        read(
+            R"({"at":5,"node":"front-2","event":"flow_reset","flow":"100.64.0.9:7>198.18.0.2:80","cause":"no_server","version":9,"opening":true})"),
+        {.flow = "100.64.0.9:7"});
+    EXPECT_EQ(story.outcome, "401 refused-not-run");
+    EXPECT_EQ(story.cause, "front-2 refused the flow: no server of the service took it (configuration 9)");
+}
+
+TEST(ExplainTest, AQuietFlowIsTracedToItsSilentServer)
+{
+    const auto story = explain(
+        read(
+            R"({"at":5,"node":"front-2","event":"flow_placed","flow":"100.64.0.9:7>198.18.0.2:80","server":"10.1.0.8"}
+{"at":900,"node":"front-2","event":"server_state","server":"10.1.0.8","state":"silent","before":"ready"}
+{"at":901,"node":"front-2","event":"server_state","server":"10.1.0.9","state":"gone","before":"ready"})"),
+        {.flow = "100.64.0.9:7"});
+    EXPECT_EQ(story.events.size(), 2U);
+    EXPECT_EQ(story.cause, "front-2 learned that server 10.1.0.8 is silent");
+}
+
+TEST(ExplainTest, ARequestIsFoundByItsId)
+{
+    const auto story = explain(read(R"({"at":5,"node":"a","event":"request_refused","request":"r-1"}
+{"at":6,"node":"a","event":"request_refused","request":"r-11"})"),
+                               {.request = "r-1"});
+    EXPECT_EQ(story.events.size(), 1U);
+}
+
+TEST(ExplainTest, TornAndForeignLinesAreCountedAndSkipped)
+{
+    const auto reading = read(R"(started at noon
+  12.5 front-1 {"at":5,"node":"front-1","event":"started"}
+{"at":5,"node":"front-1","eve
+{"at":"five","node":"front-1","event":"started"}
+
+[1,2])");
+    EXPECT_EQ(reading.events.size(), 1U);
+    EXPECT_EQ(reading.unreadable, 4U);
+}
+
+TEST(ExplainTest, WhatNoLineNamesIsUnknown)
+{
+    const auto story = explain(read(balancer), {.flow = "100.64.0.7:400"});
+    EXPECT_TRUE(story.events.empty());
+    EXPECT_EQ(story.outcome, "unknown");
+}
+
+} // namespace
+} // namespace oriolelever
--- /dev/null
+++ b/test/gate-path-test.cc
@@ -0,0 +1,376 @@
+// The whole packet path over loopback: callers, a balancer, agents, and backend servers that judge their own
+// flows.
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "event-loop.h"
+#include "oriolelever/bytes.h"
+#include "oriolelever/gate-node.h"
+#include "oriolelever/steering-node.h"
+#include "wire-packet.h"
+
+namespace oriolelever {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view serviceName = "sportello";
+constexpr std::uint8_t ackFlag = 1;
+constexpr std::uint8_t rstFlag = 2;
+constexpr std::uint8_t bouncedFlag = 4;
+constexpr std::uint8_t synFlag = 32;
+constexpr std::size_t headerSize = 32;
+
+Endpoint endpoint(const std::string &address, std::uint16_t port)
+{
+    Endpoint parsed;
+    EXPECT_TRUE(parseIpAddress(address, parsed.address));
+    parsed.port = port;
+    return parsed;
+}
+
+std::vector<std::uint8_t> packet(const Endpoint &from, const Endpoint &to, std::uint8_t flags,
+                                 std::uint32_t sequence, std::uint32_t acknowledgement, std::size_t payload)
+{
+    std::vector<std::uint8_t> bytes(headerSize + payload);
+    write16(bytes.data(), static_cast<std::uint16_t>(payload));
+    write16(bytes.data() + 2, to.port);
+    std::copy_n(from.address.bytes.begin() + 12, 4, bytes.begin() + 4);
+    write16(bytes.data() + 8, from.port);
+    std::copy_n(to.address.bytes.begin() + 12, 4, bytes.begin() + 10);
+    bytes[14] = flags;
+    write32(bytes.data() + 16, 0xfeedf00d);
+    write32(bytes.data() + 20, sequence);
+    write32(bytes.data() + 24, acknowledgement);
+    return bytes;
+}
+
+// A port that was free a moment ago, for addresses of the loopback range.
+std::uint16_t freePort()
+{
+    const auto socket = handleError([] { return openDatagramSocket(endpoint("127.0.0.1", 0)); },
+                                    [](const Error &) { return FileDescriptor(); });
+    return localEndpoint(socket).port;
+}
+
+const PacketFormat format = platform::wirePacketFormat();
+
+// Takes opening packets, answers payload of flows that it holds, gives everything else back.
+class StandInServer
+{
+public:
+    StandInServer(asio::io_context &context, const Endpoint &address, const Endpoint &outbound)
+        : m_port(context)
+        , m_outbound(outbound)
+    {
+        handleError(
+            [&]() -> Result<void> {
+                return m_port.open(address,
+                                   [this](std::span<std::uint8_t> bytes, const Endpoint &) { take(bytes); });
+            },
+            [](const Error &error) { ADD_FAILURE() << error.text; });
+    }
+
+    std::set<FlowKey> flows;
+    int requests = 0;
+    bool full = false;
+
+private:
+    void take(std::span<std::uint8_t> bytes)
+    {
+        Segment segment;
+        ASSERT_TRUE(format.parse(bytes, segment));
+        const auto key = flowFromCaller(segment);
+        if (segment.opens() && !full) {
+            flows.insert(key);
+            reply(
+                packet(segment.destination, segment.source, synFlag | ackFlag, 500, segment.sequence + 1, 0));
+        } else if (!segment.opens() && flows.contains(key)) {
+            ++requests;
+            reply(packet(segment.destination, segment.source, ackFlag, 501, segment.sequence, 40));
+        } else {
+            std::vector<std::uint8_t> bounced(bytes.begin(), bytes.end());
+            bounced[14] |= bouncedFlag;
+            reply(bounced);
+        }
+    }
+
+    void reply(const std::vector<std::uint8_t> &bytes)
+    {
+        m_port.sendCopy(bytes, m_outbound);
+    }
+
+    PacketPort m_port;
+    Endpoint m_outbound;
+};
+
+struct StandInHost
+{
+    StandInHost(asio::io_context &context, const std::string &address, std::uint16_t dataPort,
+                std::uint16_t linkPort, std::uint64_t lifetime)
+        : host(endpoint(address, dataPort))
+        , outbound(endpoint(address, freePort()))
+        , app(endpoint(address, freePort()))
+        , server(std::make_unique<StandInServer>(context, app, outbound))
+        , log(
+              {.node = address}, [](const char *, std::size_t size) { return size; },
+              [] { return std::int64_t{0}; })
+    {
+        startAgent(context, linkPort, lifetime);
+    }
+
+    void startAgent(asio::io_context &context, std::uint16_t linkPort, std::uint64_t lifetime)
+    {
+        agent.reset();
+        metrics = std::make_unique<Metrics>();
+        agent = std::make_unique<GateNode>(
+            context,
+            GateNodeOptions{.relay = host,
+                            .outbound = outbound,
+                            .server = app,
+                            .balancerPort = linkPort,
+                            .callerPort = host.port,
+                            .lifetime = lifetime,
+                            .format = format,
+                            .gate = {.service = idOf<ServiceId>(serviceName), .zone = idOf<ZoneId>("a")}},
+            log, *metrics);
+        handleError([&]() -> Result<void> { return agent->open(); },
+                    [](const Error &error) { ADD_FAILURE() << error.text; });
+    }
+
+    void beat(std::uint64_t sequence, std::uint64_t bornAt = 1000, bool draining = false)
+    {
+        agent->onHeartbeat({.id = "i-" + toString(host.address),
+                            .bornAt = bornAt,
+                            .sequence = sequence,
+                            .service = std::string(serviceName),
+                            .zone = "a",
+                            .draining = draining,
+                            .slots = 2});
+    }
+
+    Endpoint host;
+    Endpoint outbound;
+    Endpoint app;
+    std::unique_ptr<StandInServer> server;
+    EventLog log;
+    std::unique_ptr<Metrics> metrics;
+    std::unique_ptr<GateNode> agent;
+};
+
+class GatePathTest : public testing::Test
+{
+protected:
+    GatePathTest()
+        : callers(context)
+        , log(
+              {.node = "front"}, [](const char *, std::size_t size) { return size; },
+              [] { return std::int64_t{0}; })
+    {
+        startBalancer();
+        handleError(
+            [&]() -> Result<void> {
+                return callers.open(endpoint("127.0.0.9", dataPort), [this](auto bytes, const Endpoint &) {
+                    Segment segment;
+                    ASSERT_TRUE(format.parse(bytes, segment));
+                    received.push_back(segment);
+                });
+            },
+            [](const Error &error) { ADD_FAILURE() << error.text; });
+        for (const char *address : {"127.0.0.3", "127.0.0.4"}) {
+            hosts.push_back(
+                std::make_unique<StandInHost>(context, address, dataPort, linkPort, hosts.size() + 1));
+            hosts.back()->beat(5);
+        }
+        learnAgents();
+    }
+
+    void startBalancer()
+    {
+        balancer.reset();
+        metrics = std::make_unique<Metrics>();
+        balancer
+            = std::make_unique<SteeringNode>(context,
+                                             SteeringNodeOptions{.callers = endpoint("127.0.0.2", dataPort),
+                                                                 .link = endpoint("127.0.0.2", linkPort),
+                                                                 .agentPort = dataPort,
+                                                                 .callerPort = dataPort,
+                                                                 .lifetime = ++lifetime,
+                                                                 .format = format,
+                                                                 .steering = {.zone = idOf<ZoneId>("a")}},
+                                             log, *metrics);
+        handleError([&]() -> Result<void> { return balancer->open(); },
+                    [](const Error &error) { ADD_FAILURE() << error.text; });
+    }
+
+    // What the balancer reads from the store, and the agents' first reports.
+    void learnAgents()
+    {
+        RoutingTable table{.revision = 1, .version = 1};
+        table.routes[service] = {.services = {{idOf<ServiceId>(serviceName), 1}}};
+        balancer->setTable(table);
+        balancer->setEvacuated({});
+        std::vector<IpAddress> listed;
+        for (const auto &host : hosts) {
+            listed.push_back(host->host.address);
+        }
+        balancer->setListed(listed);
+        runUntil(context, [&] {
+            const auto &backends = balancer->state().backends;
+            return backends.size() == hosts.size()
+                && std::all_of(backends.begin(), backends.end(),
+                               [](const auto &b) { return b.reported != TimePoint{}; });
+        });
+    }
+
+    void send(std::uint16_t port, std::uint8_t flags, std::uint32_t acknowledgement, std::size_t payload)
+    {
+        const auto bytes = packet(endpoint("127.0.0.9", port), service, flags, 9, acknowledgement, payload);
+        callers.sendCopy(bytes, endpoint("127.0.0.2", dataPort));
+        callers.flush();
+    }
+
+    Segment nextAnswer()
+    {
+        const auto seen = received.size();
+        runUntil(context, [&] { return received.size() > seen; });
+        return received.empty() ? Segment{} : received.back();
+    }
+
+    void openFlow(std::uint16_t port)
+    {
+        send(port, synFlag, 0, 0);
+        const auto accepted = nextAnswer();
+        EXPECT_TRUE(accepted.syn && accepted.ack);
+        EXPECT_EQ(accepted.destination.port, port);
+    }
+
+    Segment request(std::uint16_t port)
+    {
+        send(port, ackFlag, 501, 60);
+        return nextAnswer();
+    }
+
+    StandInHost &holderOf(std::uint16_t port)
+    {
+        const FlowKey key{.caller = endpoint("127.0.0.9", port), .service = service};
+        return hosts[0]->server->flows.contains(key) ? *hosts[0] : *hosts[1];
+    }
+
+    asio::io_context context;
+    const std::uint16_t dataPort = freePort();
+    const std::uint16_t linkPort = freePort();
+    const Endpoint service = endpoint("198.18.0.1", 443);
+    std::uint64_t lifetime = 0;
+    std::vector<Segment> received;
+    PacketPort callers;
+    EventLog log;
+    std::unique_ptr<Metrics> metrics;
+    std::unique_ptr<SteeringNode> balancer;
+    std::vector<std::unique_ptr<StandInHost>> hosts;
+};
+
+TEST_F(GatePathTest, AFlowIsServedFromEndToEnd)
+{
+    EXPECT_TRUE(balancer->isReady());
+    openFlow(4001);
+    const auto answer = request(4001);
+    EXPECT_EQ(answer.payloadSize, 40U);
+    EXPECT_EQ(answer.source, service);
+    EXPECT_EQ(hosts[0]->server->requests + hosts[1]->server->requests, 1);
+}
+
+TEST_F(GatePathTest, FlowsStayWholeWhenTheBalancerRestarts)
+{
+    for (std::uint16_t port = 4001; port < 4009; ++port) {
+        openFlow(port);
+        request(port);
+    }
+    startBalancer();
+    learnAgents();
+    for (std::uint16_t port = 4001; port < 4009; ++port) {
+        EXPECT_EQ(request(port).payloadSize, 40U);
+    }
+}
+
+TEST_F(GatePathTest, FlowsStayWholeWhenTheirAgentRestarts)
+{
+    openFlow(4001);
+    request(4001);
+    holderOf(4001).startAgent(context, linkPort, 50);
+    EXPECT_EQ(request(4001).payloadSize, 40U);
+}
+
+TEST_F(GatePathTest, FlowsStayWholeWhenEverythingButTheServersRestarts)
+{
+    openFlow(4001);
+    request(4001);
+    startBalancer();
+    hosts[0]->startAgent(context, linkPort, 50);
+    hosts[1]->startAgent(context, linkPort, 51);
+    learnAgents();
+    EXPECT_EQ(request(4001).payloadSize, 40U);
+}
+
+TEST_F(GatePathTest, ADrainingServerIsSparedAndKeepsItsFlows)
+{
+    openFlow(4001);
+    request(4001);
+    auto &draining = holderOf(4001);
+    draining.beat(6, 1000, true);
+    const auto held = draining.server->flows.size();
+    for (std::uint16_t port = 4010; port < 4016; ++port) {
+        openFlow(port);
+    }
+    EXPECT_EQ(draining.server->flows.size(), held);
+    EXPECT_EQ(request(4001).payloadSize, 40U);
+}
+
+TEST_F(GatePathTest, AFullServersFlowsGoToTheOther)
+{
+    hosts[0]->server->full = true;
+    for (std::uint16_t port = 4001; port < 4007; ++port) {
+        openFlow(port);
+    }
+    EXPECT_EQ(hosts[1]->server->flows.size(), 6U);
+}
+
+TEST_F(GatePathTest, AFlowThatNoServerTakesIsRefusedAtOnce)
+{
+    hosts[0]->server->full = true;
+    hosts[1]->server->full = true;
+    send(4001, synFlag, 0, 0);
+    const auto refused = nextAnswer();
+    EXPECT_TRUE(refused.rst);
+    EXPECT_EQ(refused.source, service);
+    EXPECT_EQ(refused.destination.port, 4001);
+}
+
+TEST_F(GatePathTest, AFlowOfAServerThatStartedAnewIsReset)
+{
+    openFlow(4001);
+    request(4001);
+    auto &host = holderOf(4001);
+    host.server->flows.clear();
+    host.beat(1, 2000);
+    EXPECT_TRUE(request(4001).rst);
+}
+
+TEST_F(GatePathTest, HostileDatagramsChangeNothing)
+{
+    const std::vector<std::uint8_t> noise{1, 2, 3};
+    callers.sendCopy(noise, endpoint("127.0.0.2", dataPort));
+    callers.sendCopy(noise, endpoint("127.0.0.2", linkPort));
+    callers.sendCopy(noise, hosts[0]->host);
+    callers.sendCopy(noise, hosts[0]->outbound);
+    auto forged = packet(endpoint("127.0.0.9", 4001), service, synFlag | ackFlag, 9, 1, 0);
+    callers.sendCopy(forged, endpoint("127.0.0.2", dataPort));
+    callers.flush();
+    openFlow(4002);
+    EXPECT_EQ(request(4002).payloadSize, 40U);
+    EXPECT_EQ(hosts[0]->server->flows.size() + hosts[1]->server->flows.size(), 1U);
+}
+
+} // namespace
+} // namespace oriolelever
--- /dev/null
+++ b/test/peer-message-test.cc
@@ -0,0 +1,85 @@
+#include "oriolelever/peer-message.h"
+
+#include <array>
+
+#include <gtest/gtest.h>
+
+namespace oriolelever {
+namespace {
+
+IpAddress address(std::string_view text)
+{
+    IpAddress parsed;
+    EXPECT_TRUE(parseIpAddress(text, parsed));
+    return parsed;
+}
+
+std::array<std::uint8_t, maxPeerMessageSize> buffer{};
+
+TEST(PeerMessageTest, AHelloComesBackAsItWas)
+{
+    const Hello hello{.lifetime = 0x0102030405060708,
+                      .coldFlowsPerSecond = 42,
+                      .idleLimit = std::chrono::milliseconds(15'000),
+                      .unlisted = true,
+                      .balancers = {address("10.1.0.10"), address("10.2.0.7")}};
+    const auto size = encodeHello(buffer, hello);
+    Hello decoded;
+    ASSERT_TRUE(decodeHello({buffer.data(), size}, decoded));
+    EXPECT_EQ(decoded, hello);
+    EXPECT_FALSE(decodeHello({buffer.data(), size - 1}, decoded)) << "cut";
+}
+
+TEST(PeerMessageTest, AReportComesBackAsItWas)
+{
+    const Report report{.lifetime = 9,
+                        .service = idOf<ServiceId>("sportello"),
+                        .zone = idOf<ZoneId>("bergamo"),
+                        .state = BackendState::Draining,
+                        .slots = 2,
+                        .flows = 75,
+                        .waiting = 3,
+                        .coldLeft = std::chrono::milliseconds(1900),
+                        .bornAt = 1'700'000'000'000};
+    const auto size = encodeReport(buffer, report);
+    Report decoded;
+    ASSERT_TRUE(decodeReport({buffer.data(), size}, decoded));
+    EXPECT_EQ(decoded, report);
+    EXPECT_FALSE(decodeReport({buffer.data(), size - 1}, decoded)) << "cut";
+    buffer[peerHeaderSize + 16] = 200;
+    EXPECT_FALSE(decodeReport({buffer.data(), size}, decoded)) << "no such state";
+}
+
+TEST(PeerMessageTest, ANoteComesBackAsItWas)
+{
+    FlowKey flow;
+    ASSERT_TRUE(parseEndpoint("203.0.113.7:40001", flow.caller));
+    ASSERT_TRUE(parseEndpoint("198.51.100.1:443", flow.service));
+    encodeNote(buffer, flow, address("10.3.0.5"));
+    FlowKey decoded;
+    IpAddress holder;
+    ASSERT_TRUE(decodeNote({buffer.data(), noteSize}, decoded, holder));
+    EXPECT_EQ(decoded, flow);
+    EXPECT_EQ(holder, address("10.3.0.5"));
+    EXPECT_FALSE(decodeNote({buffer.data(), noteSize - 1}, decoded, holder));
+}
+
+TEST(PeerMessageTest, HeadersOfOtherVersionsAndTypesAreRefused)
+{
+    encodePeerHeader(buffer, {.type = PeerMessageType::Return, .reason = ReturnReason::Cold, .number = 5});
+    PeerHeader header;
+    ASSERT_TRUE(decodePeerHeader(buffer, header));
+    EXPECT_EQ(header.reason, ReturnReason::Cold);
+    EXPECT_EQ(header.number, 5U);
+    EXPECT_FALSE(decodePeerHeader({buffer.data(), peerHeaderSize - 1}, header)) << "cut";
+    buffer[2] = 99;
+    EXPECT_FALSE(decodePeerHeader(buffer, header)) << "no such reason";
+    buffer[1] = 99;
+    EXPECT_FALSE(decodePeerHeader(buffer, header)) << "no such type";
+    buffer[1] = 1;
+    buffer[0] = 2;
+    EXPECT_FALSE(decodePeerHeader(buffer, header)) << "another version";
+}
+
+} // namespace
+} // namespace oriolelever
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -334,6 +334,24 @@
     EXPECT_EQ(decision.cause, SteeringCause::Undecided) << "the silent server may hold the flow";
 }
 
+TEST_F(SteeringTest, AFlowWhoseServerStartedAnewIsResetAtOnce)
+{
+    threeReady();
+    const auto holder = open(1).backend;
+    data(1);
+    const auto decision = giveBack(1, false, holder, ReturnReason::NotHeld);
+    EXPECT_EQ(decision.act, SteeringAct::Reset);
+    EXPECT_EQ(decision.cause, SteeringCause::NotHeld);
+}
+
+TEST_F(SteeringTest, AFlowThatTwoServersWereOfferedIsSearched)
+{
+    threeReady();
+    const auto first = open(1).backend;
+    const auto second = giveBack(1, true, first, ReturnReason::Full).backend;
+    EXPECT_EQ(giveBack(1, false, second, ReturnReason::NotHeld).act, SteeringAct::Ask);
+}
+
 TEST_F(SteeringTest, AFlowWhoseServerAnswersStaysThere)
 {
     threeReady();
--- /dev/null
+++ b/test/store-client-test.cc
@@ -0,0 +1,272 @@
+#include "store-client.h"
+
+#include <optional>
+
+#include <asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include "event-loop.h"
+#include "oriolelever/http-service.h"
+#include "oriolelever/object-follower.h"
+#include "oriolelever/presence.h"
+
+namespace oriolelever::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+Endpoint loopback(std::uint16_t port)
+{
+    Endpoint endpoint;
+    EXPECT_TRUE(parseEndpoint("127.0.0.1:" + std::to_string(port), endpoint));
+    return endpoint;
+}
+
+json storedObject(const std::string &name, std::uint64_t revision, const json &spec)
+{
+    return {{"meta", {{"Name", name}, {"Rev", revision}, {"Created", 1}, {"Finalizers", json::array()}}},
+            {"spec", spec},
+            {"status", nullptr}};
+}
+
+// A stand-in of the store that answers what the test scripts, call by call; without a script 503.
+class StoreClientTest : public testing::Test
+{
+protected:
+    StoreClientTest()
+    {
+        runUntil(context, [this] { return service.port() != 0; });
+        client = std::make_unique<StoreClient>(context, loopback(service.port()));
+    }
+
+    void script(int status, const json &body)
+    {
+        replies.push_back({.status = status, .body = body.dump()});
+    }
+
+    template<typename T>
+    Answer<T> wait(std::optional<Answer<T>> &answer)
+    {
+        runUntil(context, [&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    template<typename T>
+    static Done<T> into(std::optional<Answer<T>> &answer)
+    {
+        return [&answer](const Answer<T> &given) {
+            answer.emplace(given);
+        };
+    }
+
+    asio::io_context context;
+    std::vector<HttpReply> replies; ///< The next first.
+    std::vector<HttpRequest> requests;
+    HttpService service{context, loopback(0), [this](const HttpRequest &request) {
+                            requests.push_back(request);
+                            if (replies.empty()) {
+                                return HttpReply{.status = 503, .body = "{}"};
+                            }
+                            auto reply = replies.front();
+                            replies.erase(replies.begin());
+                            return reply;
+                        }};
+    std::unique_ptr<StoreClient> client;
+};
+
+TEST_F(StoreClientTest, CreatesAndReplacesObjects)
+{
+    script(200, storedObject("side-1", 12, {{"host", "10.1.0.8"}}));
+    std::optional<Answer<Object>> created;
+    client->write({.kind = "agents", .name = "side-1", .value = {{"host", "10.1.0.8"}}}, {}, into(created));
+    const auto object = wait(created);
+    ASSERT_TRUE(object);
+    EXPECT_EQ(object.value().version, 12U);
+    EXPECT_EQ(requests[0].method, "POST");
+    EXPECT_EQ(requests[0].path, "/objects/agents");
+    EXPECT_EQ(json::parse(requests[0].body)["meta"]["Name"], "side-1");
+
+    script(409, storedObject("side-1", 14, {{"host", "10.9.9.9"}}));
+    std::optional<Answer<Object>> replaced;
+    client->write(object.value(), {}, into(replaced));
+    const auto conflict = wait(replaced);
+    ASSERT_FALSE(conflict);
+    EXPECT_EQ(conflict.error().code, Code::PlatformConflict);
+    EXPECT_EQ(requests[1].method, "PUT");
+    EXPECT_EQ(requests[1].path, "/objects/agents/side-1");
+    EXPECT_EQ(json::parse(requests[1].body)["meta"]["Rev"], 12);
+}
+
+TEST_F(StoreClientTest, ListsAllPages)
+{
+    script(200,
+           {{"items", {storedObject("a", 3, 1), {{"foreign", true}}, storedObject("b", 4, 2)}},
+            {"More", true},
+            {"StoreRevision", 9}});
+    script(200, {{"items", {storedObject("c", 5, 3)}}, {"More", false}, {"StoreRevision", 11}});
+    std::optional<Answer<ObjectList>> listed;
+    client->list("agents", into(listed));
+    const auto list = wait(listed);
+    ASSERT_TRUE(list);
+    EXPECT_EQ(list.value().objects.size(), 3U);
+    EXPECT_EQ(list.value().revision, 9U) << "a watch after the first page misses no later change";
+}
+
+TEST_F(StoreClientTest, EachRefusalIsAnErrorOfItsOwn)
+{
+    const std::vector<std::pair<int, Code>> expected{{404, Code::NotFound},
+                                                     {409, Code::PlatformConflict},
+                                                     {429, Code::PlatformThrottled},
+                                                     {503, Code::PlatformUnreachable}};
+    for (const auto &[status, code] : expected) {
+        script(status, json::object());
+        std::optional<Answer<Object>> read;
+        client->read("config", "main", into(read));
+        const auto answer = wait(read);
+        ASSERT_FALSE(answer);
+        EXPECT_EQ(answer.error().code, code) << status;
+    }
+}
+
+TEST_F(StoreClientTest, AnUnreadableAnswerIsAnError)
+{
+    replies.push_back({.status = 200, .body = "\x80 no JSON"});
+    std::optional<Answer<ObjectList>> listed;
+    client->list("agents", into(listed));
+    EXPECT_EQ(wait(listed).error().code, Code::PlatformRefused);
+}
+
+TEST_F(StoreClientTest, LostHistoryAsksForANewList)
+{
+    script(410, json::object());
+    std::optional<Answer<WatchBatch>> watched;
+    client->watch({"config"}, 5, milliseconds(1000), into(watched));
+    const auto batch = wait(watched);
+    ASSERT_TRUE(batch);
+    EXPECT_TRUE(batch.value().restart);
+}
+
+TEST_F(StoreClientTest, AFollowerSeesChangesDeletionsAndLostHistory)
+{
+    script(200,
+           {{"items", {storedObject("bergamo", 3, json::object())}}, {"More", false}, {"StoreRevision", 4}});
+    script(200,
+           {{"events", {{{"Object", storedObject("brescia", 5, json::object())}, {"Deleted", false}}}},
+            {"StoreRevision", 5}});
+    script(200,
+           {{"events", {{{"Object", storedObject("bergamo", 6, json::object())}, {"Deleted", true}}}},
+            {"StoreRevision", 6}});
+    script(410, json::object());
+    script(200, {{"items", json::array()}, {"More", false}, {"StoreRevision", 9}});
+    std::vector<std::size_t> sizes;
+    bool lost = false;
+    ObjectFollower follower(context, *client, {.kind = "evacuations"},
+                            {.changed = [&](const auto &objects) { sizes.push_back(objects.size()); },
+                             .availability =
+                                 [&](bool available, const std::string &) {
+                                     lost |= !available;
+                                 }});
+    follower.start();
+    runUntil(context, [&] { return lost; });
+    const std::vector<std::size_t> expected{1, 2, 1, 0};
+    EXPECT_EQ(sizes, expected);
+}
+
+TEST_F(StoreClientTest, AProcessThatRestartedFindsItsOwnEntry)
+{
+    IpAddress host;
+    ASSERT_TRUE(parseIpAddress("10.1.0.8", host));
+    script(409, storedObject("side-1", 12, {{"host", "10.1.0.8"}}));
+    script(200, storedObject("side-1", 12, {{"host", "10.1.0.8"}}));
+    script(200,
+           {{"items", {storedObject("front-1", 3, {{"host", "10.1.0.2"}}), storedObject("x", 4, "foreign")}},
+            {"More", false},
+            {"StoreRevision", 20}});
+    std::vector<IpAddress> found;
+    Presence presence(context, *client,
+                      {.kind = "agents", .name = "side-1", .host = host, .wantedKind = "balancers"},
+                      {.listed = [&](const auto &hosts) { found = hosts; },
+                       .entry =
+                           [](bool, const auto &) {
+                           }});
+    presence.start();
+    runUntil(context, [&] { return !found.empty(); });
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(toString(found[0]), "10.1.0.2");
+    EXPECT_EQ(requests.size(), 3U) << "the entry was not written again";
+}
+
+TEST_F(StoreClientTest, AnEntryOfAnEarlierAddressIsReplaced)
+{
+    IpAddress host;
+    ASSERT_TRUE(parseIpAddress("10.1.0.8", host));
+    script(409, storedObject("side-1", 12, {{"host", "10.7.7.7"}}));
+    script(200, storedObject("side-1", 12, {{"host", "10.7.7.7"}}));
+    script(200, storedObject("side-1", 21, {{"host", "10.1.0.8"}}));
+    bool written = false;
+    Presence presence(context, *client,
+                      {.kind = "agents", .name = "side-1", .host = host, .wantedKind = "balancers"},
+                      {.listed = [](const auto &) {},
+                       .entry =
+                           [&](bool ok, const auto &) {
+                               written |= ok;
+                           }});
+    presence.start();
+    runUntil(context, [&] { return written; });
+    EXPECT_EQ(requests[2].method, "PUT");
+    EXPECT_EQ(json::parse(requests[2].body)["meta"]["Rev"], 12);
+}
+
+// A server that accepts connections and says nothing.
+TEST(HttpClientTest, ASilentServerCostsTheCallItsTimeLimit)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    HttpClient client(context, {.server = loopback(acceptor.local_endpoint().port())});
+    std::optional<HttpAnswer> answer;
+    client.send({.target = "/", .timeout = milliseconds(50), .done = [&](HttpAnswer given) {
+                     answer = given;
+                 }});
+    runUntil(context, [&] { return answer.has_value(); });
+    EXPECT_EQ(answer->state, TransferState::Lost);
+}
+
+TEST(HttpClientTest, WithoutAServerNothingIsSent)
+{
+    asio::io_context context;
+    std::uint16_t port = 0;
+    {
+        const asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+        port = acceptor.local_endpoint().port();
+    }
+    HttpClient client(context, {.server = loopback(port)});
+    std::optional<HttpAnswer> answer;
+    client.send({.target = "/", .done = [&](HttpAnswer given) {
+                     answer = given;
+                 }});
+    runUntil(context, [&] { return answer.has_value(); });
+    EXPECT_EQ(answer->state, TransferState::NotSent);
+}
+
+TEST(HttpClientTest, CallsShareOneConnection)
+{
+    asio::io_context context;
+    HttpService service(context, loopback(0),
+                        [](const HttpRequest &request) { return HttpReply{.body = request.path}; });
+    runUntil(context, [&] { return service.port() != 0; });
+    HttpClient client(context, {.server = loopback(service.port())});
+    std::vector<std::string> bodies;
+    for (const char *target : {"/a", "/b", "/c"}) {
+        client.send({.target = target, .done = [&](const HttpAnswer &answer) {
+                         bodies.push_back(answer.body);
+                     }});
+    }
+    runUntil(context, [&] { return bodies.size() == 3; });
+    const std::vector<std::string> expected{"/a", "/b", "/c"};
+    EXPECT_EQ(bodies, expected);
+    EXPECT_EQ(client.connects(), 1U);
+}
+
+} // namespace
+} // namespace oriolelever::platform
