Callers are told when their server has ended, before their next request

Cause: callers keep flows open between requests. When their server had started anew or had left, they learned it only from their next request, which was lost if it may not be repeated, and packets to an agent that had ended with its server went nowhere until the caller's deadline. Ruled out: refusals at placing (under 0.3 % of requests). Change: the agent resets the flows that it knows when its server has started anew and when it is stopped after its server has left; a balancer resets a flow whose server said that it leaves and whose agent is silent.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -43,6 +43,7 @@
     ~GateNode() override;
 
     Result<void> start(Kernel &kernel) override;
+    void beginDrain() override;
     void stop() override;
 
     /// Starts without a kernel.
@@ -73,7 +74,8 @@
     void onFind(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer);
     void giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason,
                   std::uint32_t number = 0);
-    void resetCallers();
+    /// Tells the callers of all flows that their server has ended.
+    void resetCallers(std::string_view cause);
     void reportAll();
     void tick();
     void scheduleTick();
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "oriolelever/peer-message.h"
 #include "oriolelever/segment.h"
@@ -107,9 +108,22 @@
 /// Notes that the server gave a packet back; returns why.
 ReturnReason noteBounce(GateState &state, const Segment &segment);
 
+/// A reset that tells a caller that its server is gone.
+struct CallerReset
+{
+    FlowKey flow;
+    std::uint32_t sequence = 0; ///< Within `sequenceWindow` of the caller's last acknowledgement.
+};
+
+/// Forgets all flows; returns the resets for the callers of those that were open. Only for a server that has
+/// ended: nobody answers on its flows any more, and a caller that is told can open another one before its
+/// next request.
+std::vector<CallerReset> endAllFlows(GateState &state);
+
 enum class HeartbeatOutcome : std::uint8_t {
     Taken,
-    NewStart, ///< Taken; the server has started anew and knows nothing of earlier flows.
+    NewStart, ///< Taken; the server has started anew. Flows that are still known are those of its earlier
+              ///< start.
     Changed, ///< Taken; the server's state has changed.
     Outdated, ///< Of an earlier start, or overtaken by a later one.
 };
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -117,6 +117,14 @@
     return {};
 }
 
+void GateNode::beginDrain()
+{
+    // The platform stops an agent whose server has left only after that server has ended.
+    if (m_state.server == BackendState::Gone) {
+        resetCallers("server_left");
+    }
+}
+
 void GateNode::stop()
 {
     m_log.write(steadyNow(), "stopped", "role", "agent", "server_state", toString(m_state.server), "flows",
@@ -273,6 +281,9 @@
     const auto now = steadyNow();
     const auto before = m_state.server;
     const auto outcome = takeHeartbeat(m_state, heartbeat, now, timeOfDay());
+    if (outcome == HeartbeatOutcome::NewStart) {
+        resetCallers("server_started_anew");
+    }
     if (outcome != HeartbeatOutcome::Taken || before != m_state.server) {
         m_log.write(now, "server_heartbeat", "outcome", toString(outcome), "server_id", heartbeat.id,
                     "born_at", heartbeat.bornAt, "sequence", heartbeat.sequence, "state",
@@ -376,27 +387,27 @@
     m_probe.reset();
     noteProbe(m_state, !error);
     if (refused) {
-        resetCallers();
+        resetCallers("server_refuses_connections");
     }
     if (error) {
         reportAll();
     }
 }
 
-// The server is gone: nobody will ever answer on its flows.
-void GateNode::resetCallers()
+void GateNode::resetCallers(std::string_view cause)
 {
-    for (const auto &[key, flow] : m_state.flows) {
-        std::array<std::uint8_t, maxResetSize> reset{};
-        const auto size
-            = m_options.format.writeReset(reset, key.service, key.caller, flow.lastAcknowledgement);
-        m_relay.sendCopy({reset.data(), size}, {key.caller.address, m_options.callerPort});
+    const auto resets = endAllFlows(m_state);
+    for (const auto &reset : resets) {
+        std::array<std::uint8_t, maxResetSize> bytes{};
+        const auto &flow = reset.flow;
+        const auto size = m_options.format.writeReset(bytes, flow.service, flow.caller, reset.sequence);
+        m_relay.sendCopy({bytes.data(), size}, {flow.caller.address, m_options.callerPort});
     }
     m_relay.flush();
-    m_log.write(steadyNow(), "flows_reset", "cause", "server_gone", "flows", m_state.flows.size());
-    m_state.flows.clear();
-    m_state.waiting = 0;
-    m_state.ended = 0;
+    if (!resets.empty()) {
+        m_log.write(steadyNow(), "flows_reset", "cause", cause, "flows", resets.size(), "born_at",
+                    m_state.heartbeat.bornAt);
+    }
 }
 
 } // namespace oriolelever
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -36,13 +36,6 @@
     state.flows.erase(found);
 }
 
-void forgetAll(GateState &state)
-{
-    state.flows.clear();
-    state.waiting = 0;
-    state.ended = 0;
-}
-
 void noteSince(TimePoint &since, TimePoint now)
 {
     if (since == TimePoint{}) {
@@ -207,6 +200,20 @@
     return ReturnReason::NotHeld;
 }
 
+std::vector<CallerReset> endAllFlows(GateState &state)
+{
+    std::vector<CallerReset> resets;
+    for (const auto &[key, flow] : state.flows) {
+        if (!flow.ended) {
+            resets.push_back({.flow = key, .sequence = flow.lastAcknowledgement});
+        }
+    }
+    state.flows.clear();
+    state.waiting = 0;
+    state.ended = 0;
+    return resets;
+}
+
 HeartbeatOutcome takeHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now,
                                std::chrono::milliseconds timeOfDay)
 {
@@ -223,9 +230,6 @@
         return HeartbeatOutcome::Outdated;
     }
     const auto before = state.server;
-    if (known && isNewStart) {
-        forgetAll(state);
-    }
     state.server = heartbeat.draining ? BackendState::Draining : BackendState::Ready;
     state.coldUntil = now + heartbeat.coldLeft;
     state.heard = now;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -193,6 +193,12 @@
     return allAnswered ? refuse(SteeringCause::NotHeld) : drop(SteeringCause::Undecided);
 }
 
+// The server said that it leaves for good, and its agent has ended since.
+bool hasLeft(const SteeringState &state, const Backend &backend, TimePoint now)
+{
+    return backend.report.state == BackendState::Gone && !isHeard(state, backend, now);
+}
+
 SteeringDecision followHolder(SteeredFlow &flow)
 {
     auto decision = forward(SteeringCause::Known, flow.holder);
@@ -431,6 +437,10 @@
         state.flows.erase(found);
         return forward(SteeringCause::Known, holder);
     }
+    if (flow.holder != noBackend && flow.found && hasLeft(state, state.backends[flow.holder], now)) {
+        state.flows.erase(found);
+        return refuse(SteeringCause::NotHeld);
+    }
     if (flow.holder != noBackend) {
         return flow.found ? followHolder(flow) : steerOffered(state, route->second, flow, segment, now);
     }
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -353,10 +353,26 @@
     request(4001);
     auto &host = holderOf(4001);
     host.server->flows.clear();
+    const auto seen = received.size();
     host.beat(1, 2000);
+    runUntil(context, [&] { return received.size() > seen; });
+    EXPECT_TRUE(received.back().rst) << "the caller is told before its next request";
     EXPECT_TRUE(request(4001).rst);
 }
 
+TEST_F(GatePathTest, CallersOfAServerThatLeftAreTold)
+{
+    openFlow(4001);
+    request(4001);
+    auto &host = holderOf(4001);
+    host.agent->onDeparture("i-" + toString(host.host.address));
+    const auto seen = received.size();
+    host.agent->beginDrain();
+    runUntil(context, [&] { return received.size() > seen; });
+    EXPECT_TRUE(received.back().rst);
+    EXPECT_EQ(received.back().destination.port, 4001);
+}
+
 TEST_F(GatePathTest, HostileDatagramsChangeNothing)
 {
     const std::vector<std::uint8_t> noise{1, 2, 3};
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -156,6 +156,10 @@
     auto next = heartbeat(1);
     next.bornAt += 1000;
     EXPECT_EQ(take(next), HeartbeatOutcome::NewStart);
+    const auto resets = endAllFlows(state);
+    ASSERT_EQ(resets.size(), 1U);
+    EXPECT_EQ(resets[0].flow, flowFromCaller(fromCaller(false)));
+    EXPECT_EQ(resets[0].sequence, 501U);
     EXPECT_TRUE(state.flows.empty());
     EXPECT_EQ(state.waiting, 0U);
     EXPECT_EQ(data().reason, ReturnReason::NotHeld);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -344,6 +344,27 @@
     EXPECT_EQ(decision.cause, SteeringCause::NotHeld);
 }
 
+TEST_F(SteeringTest, AFlowOfAServerThatLeftIsReset)
+{
+    threeReady();
+    const auto holder = open(1).backend;
+    data(1);
+    takeReport(state, holder, {.service = idOf<ServiceId>(serviceName), .state = BackendState::Gone}, now);
+    EXPECT_EQ(data(1).act, SteeringAct::Forward) << "a server that leaves still answers for a while";
+    now += state.options.silentAfter;
+    EXPECT_EQ(data(1).act, SteeringAct::Reset);
+}
+
+TEST_F(SteeringTest, AnAgentThatIsAskedForANoteMayLeaveMeanwhile)
+{
+    threeReady();
+    know({"10.0.0.4"});
+    const auto asked = data(1).backend;
+    takeReport(state, asked, {.service = idOf<ServiceId>(serviceName), .state = BackendState::Gone}, now);
+    now += state.options.silentAfter;
+    EXPECT_NE(data(1).act, SteeringAct::Reset) << "its server never had the flow";
+}
+
 TEST_F(SteeringTest, AFlowThatTwoServersWereOfferedIsSearched)
 {
     threeReady();
