--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -29,9 +29,10 @@
     /// restart.
     std::chrono::milliseconds lostAfter{1500};
     std::chrono::milliseconds searchPause{150}; ///< Shorter than a caller's first retransmission, 200 ms.
-    /// After a search that stayed undecided: longer than most callers wait for an answer, so that a flow's
-    /// packets are not offered to other servers again and again while its own agent restarts.
-    std::chrono::milliseconds undecidedPause{1500};
+    /// After a search that stayed undecided; doubles with each. An agent that the platform restarts is heard
+    /// again before the third search, so that a flow's packets are not offered to other servers again and
+    /// again.
+    std::chrono::milliseconds undecidedPause{400};
     std::chrono::milliseconds openingLimit{1500}; ///< Callers give up opening a flow after 1.4 s.
     std::chrono::milliseconds defaultIdleLimit{30'000}; ///< Where the configuration names none.
     double zoneMargin = 1.25; ///< Load relative to the best server up to which the own zone is preferred.
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -24,6 +24,15 @@
     return std::find(indexes.begin(), indexes.end(), index) != indexes.end();
 }
 
+// Agents that have just become known get time for a first report; callers repeat the opening packet
+// meanwhile.
+bool isSettled(const SteeringState &state, TimePoint now)
+{
+    return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
+        return backend.reported == TimePoint{} && now - backend.introduced < state.options.settleTime;
+    });
+}
+
 SteeringDecision refuse(SteeringCause cause)
 {
     return {.act = SteeringAct::Reset, .cause = cause};
@@ -88,15 +97,6 @@
     return {};
 }
 
-// Agents that have just become known get time for a first report; callers repeat the opening packet
-// meanwhile.
-bool isSettled(const SteeringState &state, TimePoint now)
-{
-    return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
-        return backend.reported == TimePoint{} && now - backend.introduced < state.options.settleTime;
-    });
-}
-
 SteeringDecision placeFlow(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
                            SteeredFlow &flow, SteeringCause cause, TimePoint now)
 {
@@ -447,6 +447,10 @@
     if (!isNew && now - flow.exhausted < undecidedPause(state, flow)) {
         return drop(SteeringCause::Undecided);
     }
+    if (!isSettled(state, now)) {
+        state.flows.erase(found);
+        return drop(SteeringCause::NotReady);
+    }
     return searchOn(state, route->second, flow, segment, now);
 }
 
