Packets of a searched flow go on with the search; a balancer is ready once its agents had time to report

Cause: of two packets of a flow that was searched the later answer was dropped, and the caller repeated the packet after 200 ms; and a restarted balancer said that it was ready before its agents had reported, so that routers sent it packets that it dropped. Change: the packet is asked about or forwarded as the search stands now; readiness includes the first reports. Test: steering-test, one case that failed first.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -132,6 +132,9 @@
 /// Takes the hosts of all agents that have entries in the platform's store.
 void takeRoster(SteeringState &state, const std::vector<IpAddress> &hosts, TimePoint now);
 
+/// Whether each agent has reported or had time for a first report; callers repeat their packets meanwhile.
+bool isSettled(const SteeringState &state, TimePoint now);
+
 /// Takes what an agent says of itself.
 void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now);
 
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -137,7 +137,8 @@
 
 bool SteeringNode::isReady() const
 {
-    return m_state.configured && m_evacuationsKnown && m_state.rosterKnown && !m_draining;
+    return m_state.configured && m_evacuationsKnown && m_state.rosterKnown && isSettled(m_state, steadyNow())
+        && !m_draining;
 }
 
 void SteeringNode::setTable(RoutingTable table)
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -24,15 +24,6 @@
     return std::find(indexes.begin(), indexes.end(), index) != indexes.end();
 }
 
-// Agents that have just become known get time for a first report; callers repeat the opening packet
-// meanwhile.
-bool isSettled(const SteeringState &state, TimePoint now)
-{
-    return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
-        return backend.reported == TimePoint{} && now - backend.introduced < state.options.settleTime;
-    });
-}
-
 SteeringDecision refuse(SteeringCause cause)
 {
     return {.act = SteeringAct::Reset, .cause = cause};
@@ -235,7 +226,7 @@
                                const Segment &segment, BackendIndex from, BackendIndex noted, TimePoint now)
 {
     if (flow.found || !flow.asking || flow.holder != from) {
-        return flow.asking ? drop(SteeringCause::Asking) : forward(SteeringCause::Known, flow.holder);
+        return flow.asking ? ask(flow, flow.holder) : forward(SteeringCause::Known, flow.holder);
     }
     if (noted == noBackend || contains(flow.tried, noted)) {
         return searchOn(state, route, flow, segment, now);
@@ -318,6 +309,13 @@
     state.rosterKnown = true;
 }
 
+bool isSettled(const SteeringState &state, TimePoint now)
+{
+    return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
+        return backend.reported == TimePoint{} && now - backend.introduced < state.options.settleTime;
+    });
+}
+
 void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now)
 {
     auto &backend = state.backends[index];
@@ -478,9 +476,11 @@
     if (!contains(flow.tried, from)) {
         flow.tried.push_back(from);
     }
-    if (flow.holder != from || flow.asking) {
-        return segment.opens() || flow.asking ? drop(SteeringCause::Moved)
-                                              : forward(SteeringCause::Searching, flow.holder);
+    if (flow.asking) {
+        return segment.opens() ? drop(SteeringCause::Moved) : ask(flow, flow.holder);
+    }
+    if (flow.holder != from) {
+        return segment.opens() ? drop(SteeringCause::Moved) : forward(SteeringCause::Searching, flow.holder);
     }
     if (segment.opens()) {
         return placeFlow(state, route->second, key, flow, SteeringCause::Moved, now);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -286,6 +286,18 @@
     EXPECT_EQ(data(1).backend, indexOf("10.0.0.3"));
 }
 
+TEST_F(SteeringTest, EachPacketOfASearchedFlowGoesOnWithTheSearch)
+{
+    threeReady();
+    const auto asked = data(1).backend;
+    EXPECT_EQ(data(1).backend, asked);
+    const auto second = giveBack(1, false, asked, ReturnReason::NotNoted);
+    ASSERT_EQ(second.act, SteeringAct::Ask);
+    const auto late = giveBack(1, false, asked, ReturnReason::NotNoted);
+    EXPECT_EQ(late.act, SteeringAct::Ask) << "the other packet of the flow is not lost";
+    EXPECT_EQ(late.backend, second.backend);
+}
+
 TEST_F(SteeringTest, ANotedHolderIsKeptWhileItsAgentRestarts)
 {
     threeReady();
