--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -31,6 +31,7 @@
     Cold = 5, ///< The server has had as many flows in this second as a cold server bears.
     Noted = 6, ///< Another agent's server has the flow; the number is its IPv4 address.
     NotNoted = 7, ///< Nothing is noted of the flow.
+    Ended = 8, ///< The server had the flow, and has ended since.
 };
 
 std::string_view toString(ReturnReason reason);
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -88,6 +88,8 @@
     TimePoint unansweredPayload{}; ///< First payload since the server's last packet.
     std::unordered_map<FlowKey, HeldFlow> flows;
     bool sawStart = false; ///< The agent has run since before the server's start: `flows` lacks none.
+    std::unordered_map<FlowKey, TimePoint>
+        lost; ///< Flows that ended with an earlier start of the server, and when.
     std::unordered_map<FlowKey, FlowNote> notes; ///< Flows of any server.
 };
 
@@ -118,7 +120,7 @@
 /// Forgets all flows; returns the resets for the callers of those that were open. Only for a server that has
 /// ended: nobody answers on its flows any more, and a caller that is told can open another one before its
 /// next request.
-std::vector<CallerReset> endAllFlows(GateState &state);
+std::vector<CallerReset> endAllFlows(GateState &state, TimePoint now);
 
 enum class HeartbeatOutcome : std::uint8_t {
     Taken,
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -68,10 +68,11 @@
     TimePoint opened{}; ///< First opening packet; zero if the flow was found by a search.
     bool found = true; ///< The holder has placed it or kept it; otherwise a search is going on.
     bool asking = false; ///< The search asks an agent for a note; `holder` is that agent.
+    bool heardCaller = false; ///< `offeredAcknowledgement` is set.
+    bool answered = false; ///< The caller has acknowledged an answer of the holder.
     bool noted = false; ///< Notes of the holder were sent.
     std::uint8_t undecided = 0; ///< Searches in a row that stayed undecided.
     std::uint8_t asked = 0; ///< Agents that the search has asked for a note.
-    bool single = false; ///< No other server was ever offered its opening packet.
     bool unclear = false; ///< An agent of the search neither kept nor gave back the packet.
     std::uint32_t offeredSequence = 0; ///< Of the packet that the holder was offered.
     std::uint32_t offeredAcknowledgement = 0; ///< Of the same packet; it grows once the server answers.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -396,7 +396,7 @@
 
 void GateNode::resetCallers(std::string_view cause)
 {
-    const auto resets = endAllFlows(m_state);
+    const auto resets = endAllFlows(m_state, steadyNow());
     for (const auto &reset : resets) {
         std::array<std::uint8_t, maxResetSize> bytes{};
         const auto &flow = reset.flow;
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -48,6 +48,8 @@
         return "noted";
     case ReturnReason::NotNoted:
         return "not_noted";
+    case ReturnReason::Ended:
+        return "ended";
     }
     return "unknown";
 }
@@ -81,7 +83,7 @@
     out.type = static_cast<PeerMessageType>(bytes[1]);
     if (out.type == PeerMessageType::Return
         && (bytes[2] < static_cast<std::uint8_t>(ReturnReason::NotHeld)
-            || bytes[2] > static_cast<std::uint8_t>(ReturnReason::NotNoted))) {
+            || bytes[2] > static_cast<std::uint8_t>(ReturnReason::Ended))) {
         return false;
     }
     out.reason = static_cast<ReturnReason>(bytes[2]);
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -91,6 +91,7 @@
     }
     state.openings[state.nextOpening] = now;
     state.nextOpening = (state.nextOpening + 1) % state.openings.size();
+    state.lost.erase(flowFromCaller(segment));
     auto &flow = state.flows[flowFromCaller(segment)];
     if (flow.ended) {
         --state.ended;
@@ -130,6 +131,9 @@
     const auto key = flowFromCaller(segment);
     const auto found = state.flows.find(key);
     if (found == state.flows.end()) {
+        if (state.lost.contains(key)) {
+            return giveBack(ReturnReason::Ended);
+        }
         return knowsAllFlows(state, now) ? giveBack(ReturnReason::NotHeld)
                                          : GateDecision{.act = GateAct::Deliver};
     }
@@ -200,12 +204,13 @@
     return ReturnReason::NotHeld;
 }
 
-std::vector<CallerReset> endAllFlows(GateState &state)
+std::vector<CallerReset> endAllFlows(GateState &state, TimePoint now)
 {
     std::vector<CallerReset> resets;
     for (const auto &[key, flow] : state.flows) {
         if (!flow.ended) {
             resets.push_back({.flow = key, .sequence = flow.lastAcknowledgement});
+            state.lost[key] = now;
         }
     }
     state.flows.clear();
@@ -308,6 +313,8 @@
 
 void expireFlows(GateState &state, TimePoint now)
 {
+    std::erase_if(state.lost,
+                  [&](const auto &entry) { return now - entry.second > state.options.noteLimit; });
     std::erase_if(state.notes,
                   [&](const auto &entry) { return now - entry.second.noted > state.options.noteLimit; });
     const auto idle = state.idleLimit > std::chrono::milliseconds::zero() ? state.idleLimit
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -96,7 +96,6 @@
         state.flows.erase(key);
         return isSettled(state, now) ? refuse(SteeringCause::NoServer) : drop(SteeringCause::NotReady);
     }
-    flow.single = cause == SteeringCause::Placed;
     flow.holder = placement.backend;
     ++state.backends[placement.backend].placed;
     return forward(cause, placement.backend, placement.service);
@@ -161,6 +160,7 @@
 {
     flow.found = false;
     flow.asking = false;
+    flow.heardCaller = true;
     flow.offeredSequence = segment.sequence;
     flow.offeredAcknowledgement = segment.acknowledgement;
     flow.offered = now;
@@ -190,11 +190,17 @@
     return backend.report.state == BackendState::Gone && !isHeard(state, backend, now);
 }
 
-SteeringDecision followHolder(SteeredFlow &flow)
+// A caller that acknowledges more than at first has had an answer: the holder has the flow.
+SteeringDecision followHolder(SteeredFlow &flow, const Segment &segment)
 {
     auto decision = forward(SteeringCause::Known, flow.holder);
-    decision.note = !flow.noted;
-    flow.noted = true;
+    if (!flow.heardCaller) {
+        flow.heardCaller = true;
+        flow.offeredAcknowledgement = segment.acknowledgement;
+    }
+    flow.answered |= segment.acknowledgement != flow.offeredAcknowledgement;
+    decision.note = flow.answered && !flow.noted;
+    flow.noted |= flow.answered;
     return decision;
 }
 
@@ -210,8 +216,9 @@
     }
     if (segment.acknowledgement != flow.offeredAcknowledgement) {
         flow.found = true;
+        flow.answered = true;
         flow.tried.clear();
-        return followHolder(flow);
+        return followHolder(flow, segment);
     }
     if (!isRepeated) {
         return forward(SteeringCause::Known, flow.holder);
@@ -440,7 +447,8 @@
         return refuse(SteeringCause::NotHeld);
     }
     if (flow.holder != noBackend) {
-        return flow.found ? followHolder(flow) : steerOffered(state, route->second, flow, segment, now);
+        return flow.found ? followHolder(flow, segment)
+                          : steerOffered(state, route->second, flow, segment, now);
     }
     if (!isNew && now - flow.exhausted < undecidedPause(state, flow)) {
         return drop(SteeringCause::Undecided);
@@ -469,6 +477,10 @@
         return steerAnswered(state, route->second, flow, segment, from,
                              reason == ReturnReason::Noted ? backendOn(state, holder, now) : noBackend, now);
     }
+    if (reason == ReturnReason::Ended) {
+        state.flows.erase(found);
+        return refuse(SteeringCause::NotHeld);
+    }
     if (reason == ReturnReason::NotReady && segment.opens()) {
         // The agent's next report tells when its server takes flows again.
         state.backends[from].report.state = BackendState::Unknown;
@@ -485,12 +497,8 @@
     if (segment.opens()) {
         return placeFlow(state, route->second, key, flow, SteeringCause::Moved, now);
     }
-    if (flow.found && flow.single && reason == ReturnReason::NotHeld) {
-        // Only this server can have had the flow: it has started anew since.
-        state.flows.erase(found);
-        return refuse(SteeringCause::NotHeld);
-    }
     flow.noted = false;
+    flow.answered = false;
     return searchOn(state, route->second, flow, segment, now);
 }
 
