After a restart new flows wait for servers about to be heard; a service stands in for another only with free slots

Cause: when all processes were killed, the first server that its agent heard took all new flows of its service, and a small service took all flows of a route whose main service was not heard yet; long flows stay where they were opened. Change: while most servers of a service are awaited, a server gets 4 flows per slot; other openings are dropped, and callers repeat them after 200 and 600 ms; another service of the route stands in only while half of its slots are free.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -37,6 +37,11 @@
     std::chrono::milliseconds defaultIdleLimit{30'000}; ///< Where the configuration names none.
     double zoneMargin = 1.25; ///< Load relative to the best server up to which the own zone is preferred.
     double zoneSlack = 1.0; ///< Flows per slot that are added to that load.
+    /// A server that a restarted agent has not heard yet is awaited for a heartbeat period, 1.2 s, and a
+    /// report.
+    std::chrono::milliseconds awaitTime{1500};
+    double awaitedLoad
+        = 4.0; ///< Flows per slot that a server gets while most others of its service are awaited.
     double waitingWeight = 2.0; ///< Load of a running request relative to an open flow.
     double coldWeight = 2.0; ///< Load of a flow on a cold server relative to a warm one.
 };
@@ -49,6 +54,7 @@
     Report report;
     TimePoint reported{}; ///< When `report` came; never if zero.
     TimePoint introduced{}; ///< When the agent became known.
+    TimePoint started{}; ///< When the first report of the agent's present start came.
     std::uint32_t placed = 0; ///< Flows placed there by this balancer since `report`.
     bool missing = false; ///< Was heard before the entries in the platform's store were listed, and has none.
 };
@@ -151,6 +157,9 @@
 /// Load per slot as this balancer sees it.
 double loadOf(const SteeringOptions &options, const Backend &backend);
 
+/// Whether most servers of the service are about to be heard by agents that have just started.
+bool isAwaited(const SteeringState &state, ServiceId service, TimePoint now);
+
 /// The server for a new flow of `service`, `noBackend` if none takes it. Answers the ordinary load and
 /// bursts: the least loaded server, one of the balancer's own zone if it is nearly as good.
 BackendIndex chooseBackend(const SteeringState &state, ServiceId service,
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -67,7 +67,14 @@
     ServiceId service;
 };
 
-// Another service of the route stands in when the drawn one has no server.
+// A server with free slots serves one more flow without delay to those that it has.
+bool hasFreeSlots(const Backend &backend)
+{
+    return 2 * (backend.report.waiting + backend.placed) < backend.report.slots;
+}
+
+// Another service of the route stands in for one without a server, but only as far as its servers are idle:
+// long flows stay, and its own callers must not pay for them.
 Placement place(SteeringState &state, const VirtualRoute &route, const std::vector<BackendIndex> &tried,
                 TimePoint now)
 {
@@ -76,12 +83,15 @@
     if (best != noBackend) {
         return {best, drawn};
     }
+    if (isAwaited(state, drawn, now)) {
+        return {};
+    }
     for (const auto &weighted : route.services) {
         if (weighted.weight == 0 || weighted.service == drawn) {
             continue;
         }
         const auto other = chooseBackend(state, weighted.service, tried, now);
-        if (other != noBackend) {
+        if (other != noBackend && hasFreeSlots(state.backends[other])) {
             return {other, weighted.service};
         }
     }
@@ -94,7 +104,13 @@
     const auto placement = place(state, route, flow.tried, now);
     if (placement.backend == noBackend) {
         state.flows.erase(key);
-        return isSettled(state, now) ? refuse(SteeringCause::NoServer) : drop(SteeringCause::NotReady);
+        // Callers repeat an opening packet after 200 ms and 600 ms.
+        const bool isEarly = !isSettled(state, now)
+            || std::any_of(route.services.begin(), route.services.end(),
+                           [&](const WeightedService &weighted) {
+                               return weighted.weight > 0 && isAwaited(state, weighted.service, now);
+                           });
+        return isEarly ? drop(SteeringCause::NotReady) : refuse(SteeringCause::NoServer);
     }
     flow.holder = placement.backend;
     ++state.backends[placement.backend].placed;
@@ -326,6 +342,9 @@
 void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now)
 {
     auto &backend = state.backends[index];
+    if (backend.reported == TimePoint{} || backend.report.lifetime != report.lifetime) {
+        backend.started = now;
+    }
     backend.report = report;
     backend.reported = now;
     backend.placed = 0;
@@ -360,6 +379,23 @@
     return backend.report.coldLeft > std::chrono::milliseconds::zero() ? load * options.coldWeight : load;
 }
 
+bool isAwaited(const SteeringState &state, ServiceId service, TimePoint now)
+{
+    std::size_t awaited = 0;
+    std::size_t ready = 0;
+    for (const auto &backend : state.backends) {
+        if (takesFlows(state, backend, service, now)) {
+            ++ready;
+            continue;
+        }
+        const bool isStarting = backend.report.service == service
+            && backend.report.state == BackendState::Unknown && isHeard(state, backend, now)
+            && now - backend.started < state.options.awaitTime;
+        awaited += isStarting && !state.evacuated.contains(backend.report.zone) ? 1 : 0;
+    }
+    return awaited > ready;
+}
+
 BackendIndex chooseBackend(const SteeringState &state, ServiceId service,
                            const std::vector<BackendIndex> &tried, TimePoint now)
 {
@@ -385,6 +421,9 @@
             bestNearLoad = load;
         }
     }
+    if (bestLoad > state.options.awaitedLoad && isAwaited(state, service, now)) {
+        return noBackend;
+    }
     const bool nearIsGood = bestNearLoad <= bestLoad * state.options.zoneMargin + state.options.zoneSlack;
     return bestNear != noBackend && nearIsGood ? bestNear : best;
 }
@@ -483,7 +522,7 @@
     }
     if (reason == ReturnReason::NotReady && segment.opens()) {
         // The agent's next report tells when its server takes flows again.
-        state.backends[from].report.state = BackendState::Unknown;
+        state.backends[from].report.state = BackendState::Silent;
     }
     if (!contains(flow.tried, from)) {
         flow.tried.push_back(from);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -485,6 +485,90 @@
     EXPECT_NEAR(other, flows / 10, flows / 50);
 }
 
+// All processes were killed: of seven servers one has been heard by its agent so far, the others will be
+// within a heartbeat. Eighty callers come back at once, and come again after 200 ms and 600 ms.
+TEST_F(SteeringTest, ARestartDoesNotPutAllFlowsOnTheFirstServerThatIsHeard)
+{
+    const std::vector<std::string> hosts{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4",
+                                         "10.0.0.5", "10.0.0.6", "10.0.0.7"};
+    std::vector<IpAddress> addresses;
+    for (const auto &host : hosts) {
+        addresses.push_back(address(host));
+    }
+    takeRoster(state, addresses, now);
+    const auto reportAll = [&](std::size_t ready) {
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            report(hosts[i],
+                   {.lifetime = 1,
+                    .state = i < ready ? BackendState::Ready : BackendState::Unknown,
+                    .slots = 2,
+                    .flows = state.backends[i].report.flows + state.backends[i].placed});
+        }
+    };
+    std::vector<int> placed(hosts.size());
+    int waiting = 80;
+    std::set<std::uint16_t> open;
+    const auto callersTry = [&] {
+        for (std::uint16_t port = 1; port <= 80; ++port) {
+            if (open.contains(port)) {
+                continue;
+            }
+            const auto decision = this->open(port);
+            EXPECT_NE(decision.act, SteeringAct::Reset);
+            if (decision.act == SteeringAct::Forward) {
+                ++placed[decision.backend];
+                open.insert(port);
+                --waiting;
+            }
+        }
+    };
+    reportAll(1);
+    callersTry();
+    EXPECT_GT(placed[0], 0) << "the server that is there takes some";
+    now += milliseconds(200);
+    reportAll(3);
+    callersTry();
+    now += milliseconds(400);
+    reportAll(7);
+    callersTry();
+    EXPECT_EQ(waiting, 0);
+    EXPECT_LE(*std::max_element(placed.begin(), placed.end()), 2 * 80 / 7);
+}
+
+TEST_F(SteeringTest, OneRestartedAgentHoldsNoFlowBack)
+{
+    threeReady();
+    report("10.0.0.1", {.lifetime = 2, .state = BackendState::Unknown, .slots = 2});
+    EXPECT_EQ(open(1).act, SteeringAct::Forward);
+}
+
+TEST_F(SteeringTest, AwaitedServersHoldNothingBackForLong)
+{
+    know({"10.0.0.1"});
+    report("10.0.0.1", {.lifetime = 1, .state = BackendState::Unknown});
+    EXPECT_EQ(open(1).cause, SteeringCause::NotReady);
+    now += state.options.awaitTime;
+    report("10.0.0.1", {.lifetime = 1, .state = BackendState::Unknown});
+    EXPECT_EQ(open(1).cause, SteeringCause::NoServer);
+}
+
+// The route's first service is away; its second one is far smaller and has callers of its own.
+TEST_F(SteeringTest, AnotherServiceOfTheRouteStandsInOnlyWithFreeSlots)
+{
+    know({"10.0.0.1"});
+    RoutingTable table{.revision = 11, .version = 2};
+    table.routes[virtualAddress]
+        = {.services = {{idOf<ServiceId>(serviceName), 90}, {idOf<ServiceId>("archivio"), 10}}};
+    EXPECT_TRUE(takeTable(state, table));
+    report("10.0.0.1", {.service = idOf<ServiceId>("archivio"), .state = BackendState::Ready, .slots = 4});
+    int taken = 0;
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        taken += open(port).act == SteeringAct::Forward ? 1 : 0;
+    }
+    EXPECT_GE(taken, 2);
+    EXPECT_LE(taken, 30) << "its own tenth, and what its free slots take";
+}
+
 TEST_F(SteeringTest, SilentFlowsAreForgotten)
 {
     threeReady();
