--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -59,6 +60,8 @@
     bool waiting = false; ///< A request has no answer yet.
     std::uint32_t lastAcknowledgement = 0; ///< Of the caller.
     TimePoint lastPacket{};
+    TimePoint openingSince{}; ///< First opening packet, while `opening`.
+    TimePoint waitingSince{}; ///< First packet of the request, while `waiting`.
 };
 
 /// Which agent's server has a flow, as a balancer told.
@@ -104,8 +107,15 @@
 /// Decides about a caller's packet; `meant` is the service that the balancer meant.
 GateDecision admit(GateState &state, const Segment &segment, ServiceId meant, TimePoint now);
 
+/// How long the server took; absent where a packet ends no wait.
+struct ServerTimes
+{
+    std::optional<Duration> opening; ///< From the opening packet to its answer.
+    std::optional<Duration> answer; ///< From a request's first packet to the first packet of the answer.
+};
+
 /// Notes a packet that the server sent to a caller.
-void noteServerPacket(GateState &state, const Segment &segment, TimePoint now);
+ServerTimes noteServerPacket(GateState &state, const Segment &segment, TimePoint now);
 
 /// Notes that the server gave a packet back; returns why.
 ReturnReason noteBounce(GateState &state, const Segment &segment);
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -101,27 +101,42 @@
     return fmt::format("{} reset the flow: {}", event.node, cause);
 }
 
+// What the state of the flow's server comes to; a server that is ready again is no cause.
+void concludeState(Story &story, const LogEvent &event)
+{
+    const auto state = text(event.fields, "state");
+    if (state == "ready") {
+        story.outcome = "open";
+        story.cause = "nothing in the logs ended it";
+        return;
+    }
+    story.outcome = codeText(Code::OutcomeUnknown);
+    story.cause
+        = fmt::format("{} learned that server {} is {}", event.node, text(event.fields, "server"), state);
+}
+
 void concludeFlow(Story &story)
 {
     story.outcome = "open";
     story.cause = "nothing in the logs ended it";
+    bool ended = false;
     for (const auto &event : story.events) {
         if (event.event == "flow_reset") {
             const bool opening = text(event.fields, "opening") == "true";
             story.outcome = codeText(opening ? Code::RefusedNotRun : Code::OutcomeUnknown);
             story.cause = resetCause(event);
+            ended = true;
         } else if (event.event == "flows_reset") {
             story.outcome = codeText(Code::OutcomeUnknown);
-            story.cause
-                = fmt::format("{} reset the flows of its server, which refused a connection", event.node);
-        } else if (event.event == "packet_dropped") {
+            story.cause = fmt::format("{} reset the flows of its server: {}", event.node,
+                                      text(event.fields, "cause"));
+            ended = true;
+        } else if (event.event == "packet_dropped" && !ended) {
             story.outcome = codeText(Code::OutcomeUnknown);
             story.cause = fmt::format("{} dropped a packet: {}", event.node, text(event.fields, "cause"));
-        } else if (event.event == "server_state" && text(event.fields, "state") != "ready") {
-            story.outcome = codeText(Code::OutcomeUnknown);
-            story.cause = fmt::format("{} learned that server {} is {}", event.node,
-                                      text(event.fields, "server"), text(event.fields, "state"));
-        } else if (event.event == "server_suspect") {
+        } else if (event.event == "server_state" && !ended) {
+            concludeState(story, event);
+        } else if (event.event == "server_suspect" && !ended) {
             story.cause = fmt::format("the server of {} answered nothing for a while", event.node);
         }
     }
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -4,6 +4,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 
 namespace oriolelever {
 
@@ -11,6 +12,11 @@
 
 constexpr std::chrono::seconds expiryPeriod{5};
 
+// Seconds, around the latency targets of the brief's workloads.
+const prometheus::Histogram::BucketBoundaries openingBounds{0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.2, 1};
+const prometheus::Histogram::BucketBoundaries answerBounds{0.005, 0.01, 0.02, 0.05, 0.1,
+                                                           0.15,  0.25, 0.5,  1,    5};
+
 TimePoint steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -46,9 +52,29 @@
                       .Help("Flows with a request that has no answer yet")
                       .Register(registry)
                       .Add({}))
+        , opening(prometheus::BuildHistogram()
+                      .Name("oriolelever_opening_seconds")
+                      .Help("From an opening packet to the backend server's answer")
+                      .Register(registry)
+                      .Add({}, openingBounds))
+        , answer(prometheus::BuildHistogram()
+                     .Name("oriolelever_answer_seconds")
+                     .Help("From a request's first packet to the first packet of its answer")
+                     .Register(registry)
+                     .Add({}, answerBounds))
     {
     }
 
+    void observe(const ServerTimes &times)
+    {
+        if (times.opening) {
+            opening.Observe(std::chrono::duration<double>(*times.opening).count());
+        }
+        if (times.answer) {
+            answer.Observe(std::chrono::duration<double>(*times.answer).count());
+        }
+    }
+
     prometheus::Family<prometheus::Counter> &family;
     prometheus::Counter &delivered;
     prometheus::Counter &answered;
@@ -57,6 +83,8 @@
     prometheus::Counter &malformed;
     prometheus::Gauge &flows;
     prometheus::Gauge &waiting;
+    prometheus::Histogram &opening;
+    prometheus::Histogram &answer;
 };
 
 // One connection to the backend server that is closed as soon as it is accepted or refused.
@@ -258,7 +286,8 @@
     }
     if (!segment.returned) {
         m_counters->answered.Increment();
-        noteServerPacket(m_state, segment, m_now);
+        const auto times = noteServerPacket(m_state, segment, m_now);
+        m_counters->observe(times);
         m_outbound.send(bytes, {segment.destination.address, m_options.callerPort});
         return;
     }
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -97,6 +97,9 @@
         --state.ended;
         flow = {};
     }
+    if (!flow.opening) {
+        flow.openingSince = now;
+    }
     flow.opening = !flow.halfOpen;
     flow.lastPacket = now;
     noteSince(state.unansweredOpening, now);
@@ -147,6 +150,9 @@
     flow.lastAcknowledgement = segment.acknowledgement;
     flow.callerEnded |= segment.fin;
     if (segment.payloadSize > 0 && !flow.ended) {
+        if (!flow.waiting) {
+            flow.waitingSince = now;
+        }
         setWaiting(state, flow, true);
         noteSince(state.unansweredPayload, now);
     }
@@ -156,36 +162,44 @@
     return {.act = GateAct::Deliver};
 }
 
-void noteServerPacket(GateState &state, const Segment &segment, TimePoint now)
+ServerTimes noteServerPacket(GateState &state, const Segment &segment, TimePoint now)
 {
     state.unansweredOpening = {};
     state.unansweredPayload = {};
+    ServerTimes times;
     const auto key = flowFromServer(segment);
     const auto found = state.flows.find(key);
     if (segment.rst) {
         if (found != state.flows.end()) {
             end(state, found->second);
         }
-        return;
+        return times;
     }
     // The last acknowledgements of an ended flow are no new flow.
     if (found == state.flows.end() && segment.payloadSize == 0 && !segment.syn) {
-        return;
+        return times;
     }
     auto &flow = found == state.flows.end() ? state.flows[key] : found->second;
     flow.lastPacket = now;
     if (segment.syn && segment.ack) {
+        if (flow.opening) {
+            times.opening = now - flow.openingSince;
+        }
         flow.halfOpen = true;
         flow.opening = false;
         flow.initialSequence = segment.sequence;
     }
     if (segment.payloadSize > 0) {
+        if (flow.waiting) {
+            times.answer = now - flow.waitingSince;
+        }
         setWaiting(state, flow, false);
     }
     flow.serverEnded |= segment.fin;
     if (flow.callerEnded && flow.serverEnded) {
         end(state, flow);
     }
+    return times;
 }
 
 ReturnReason noteBounce(GateState &state, const Segment &segment)
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -67,6 +67,17 @@
     EXPECT_EQ(story.cause, "front-2 learned that server 10.1.0.8 is silent");
 }
 
+TEST(ExplainTest, AServerThatIsReadyAgainIsNoCause)
+{
+    const auto story = explain(
+        read(
+            R"({"at":5,"node":"front-2","event":"flow_placed","flow":"100.64.0.9:7>198.18.0.2:80","server":"10.1.0.8"}
+{"at":6,"node":"front-2","event":"server_state","server":"10.1.0.8","state":"unknown","before":"ready"}
+{"at":9,"node":"front-2","event":"server_state","server":"10.1.0.8","state":"ready","before":"unknown"})"),
+        {.flow = "100.64.0.9:7"});
+    EXPECT_EQ(story.outcome, "open");
+}
+
 TEST(ExplainTest, ARequestIsFoundByItsId)
 {
     const auto story = explain(read(R"({"at":5,"node":"a","event":"request_refused","request":"r-1"}
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -254,6 +254,25 @@
     EXPECT_EQ(reportOf(state, 1, now).waiting, 0U);
 }
 
+TEST_F(ServerGateTest, TheServersTimesAreMeasuredFromTheFirstPacket)
+{
+    beReady();
+    open();
+    now += milliseconds(3);
+    open();
+    now += milliseconds(2);
+    auto accepted = fromServer();
+    accepted.syn = true;
+    accepted.payloadSize = 0;
+    const auto opened = noteServerPacket(state, accepted, now);
+    EXPECT_EQ(opened.opening, std::optional<Duration>(milliseconds(5)));
+    EXPECT_FALSE(opened.answer);
+    data();
+    now += milliseconds(20);
+    EXPECT_EQ(noteServerPacket(state, fromServer(), now).answer, std::optional<Duration>(milliseconds(20)));
+    EXPECT_FALSE(noteServerPacket(state, fromServer(), now).answer) << "the rest of the same answer";
+}
+
 TEST_F(ServerGateTest, AColdServerGetsNoMoreThanItBearsInAnySecond)
 {
     state.coldFlowsPerSecond = 6;
