The first heartbeat that a restarted agent hears ends no flow

Ruled out: the balancers; the resets came from the agent, 'flows_reset' names it. Change: an outcome of its own for the first heartbeat.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -134,6 +134,7 @@
 
 enum class HeartbeatOutcome : std::uint8_t {
     Taken,
+    First, ///< Taken; the agent had heard no server before. Flows that are known are the server's.
     NewStart, ///< Taken; the server has started anew. Flows that are still known are those of its earlier
               ///< start.
     Changed, ///< Taken; the server's state has changed.
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -113,6 +113,8 @@
     switch (outcome) {
     case HeartbeatOutcome::Taken:
         return "taken";
+    case HeartbeatOutcome::First:
+        return "first";
     case HeartbeatOutcome::NewStart:
         return "new_start";
     case HeartbeatOutcome::Changed:
@@ -258,7 +260,7 @@
     if (isNewStart) {
         state.sawStart = known || state.heartbeat.sequence == firstSequence
             || startedBeforeServer(state, now, timeOfDay);
-        return HeartbeatOutcome::NewStart;
+        return known ? HeartbeatOutcome::NewStart : HeartbeatOutcome::First;
     }
     return before == state.server ? HeartbeatOutcome::Taken : HeartbeatOutcome::Changed;
 }
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -301,6 +301,18 @@
     EXPECT_EQ(request(4001).payloadSize, 40U);
 }
 
+TEST_F(GatePathTest, TheFirstHeartbeatThatARestartedAgentHearsEndsNoFlow)
+{
+    openFlow(4001);
+    request(4001);
+    auto &host = holderOf(4001);
+    host.startAgent(context, linkPort, 50);
+    EXPECT_EQ(request(4001).payloadSize, 40U);
+    host.beat(6);
+    EXPECT_EQ(host.agent->state().flows.size(), 1U);
+    EXPECT_EQ(request(4001).payloadSize, 40U);
+}
+
 TEST_F(GatePathTest, FlowsStayWholeWhenEverythingButTheServersRestarts)
 {
     openFlow(4001);
