--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -101,6 +101,7 @@
     TimePoint m_now{}; ///< Read once per datagram batch.
     TimePoint m_lastReport{};
     TimePoint m_lastProbe{};
+    std::uint64_t m_lostDatagrams = 0; ///< As logged.
     TimePoint m_lastExpiry{};
 };
 
--- a/include/oriolelever/http-service.h
+++ b/include/oriolelever/http-service.h
@@ -41,9 +41,6 @@
     /// The port that is listened on, once the event loop runs; 0 before.
     std::uint16_t port() const;
 
-    /// Closes all connections.
-    void close();
-
 private:
     struct Server;
     std::unique_ptr<Server> m_server;
--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -4,11 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include "oriolelever/platform.h"
 
--- a/include/oriolelever/packet-port.h
+++ b/include/oriolelever/packet-port.h
@@ -41,14 +41,10 @@
 
     static constexpr std::size_t copySize = 160; ///< Bytes.
 
-    std::uint64_t refused() const
+    /// Datagrams that the kernel refused to send, and received ones that were longer than a buffer.
+    std::uint64_t lost() const
     {
-        return m_refused;
-    }
-
-    std::uint64_t cut() const
-    {
-        return m_cut;
+        return m_lost;
     }
 
     /// Called after each batch of received datagrams.
@@ -65,8 +61,7 @@
     SendBatch m_sends;
     std::array<std::array<std::uint8_t, copySize>, 2 * batchSize> m_copies{};
     std::size_t m_copied = 0;
-    std::uint64_t m_refused = 0;
-    std::uint64_t m_cut = 0;
+    std::uint64_t m_lost = 0;
 };
 
 } // namespace oriolelever
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <span>
 #include <string_view>
-#include <vector>
 
 #include "oriolelever/flow.h"
 
@@ -56,7 +55,6 @@
     std::uint32_t coldFlowsPerSecond = noColdLimit;
     std::chrono::milliseconds idleLimit{0}; ///< Silent flows may be forgotten after it; 0 if unknown.
     bool unlisted = false; ///< The agent's entry in the platform's store is missing.
-    std::vector<IpAddress> balancers; ///< Other live balancers, IPv4 only.
 
     bool operator==(const Hello &) const = default;
 };
@@ -79,8 +77,7 @@
 
 constexpr std::size_t peerHeaderSize = 12; ///< Bytes.
 constexpr std::size_t noteSize = peerHeaderSize + 12; ///< Bytes.
-constexpr std::size_t maxHelloPeers = 16;
-constexpr std::size_t maxPeerMessageSize = 160; ///< Bytes of the largest Hello or Report.
+constexpr std::size_t maxPeerMessageSize = 64; ///< Bytes of the largest Hello or Report.
 
 /// The header of any message.
 struct PeerHeader
@@ -103,8 +100,7 @@
 std::uint32_t ipv4Number(const IpAddress &address);
 IpAddress ipv4Address(std::uint32_t number);
 
-/// Both return the size; `out` must hold `maxPeerMessageSize` bytes. Of the balancers the first
-/// `maxHelloPeers` fit.
+/// Both return the size; `out` must hold `maxPeerMessageSize` bytes.
 std::size_t encodeHello(std::span<std::uint8_t> out, const Hello &hello);
 std::size_t encodeReport(std::span<std::uint8_t> out, const Report &report);
 /// Both return false if the message is cut or holds an impossible value.
--- a/include/oriolelever/routing-table.h
+++ b/include/oriolelever/routing-table.h
@@ -21,7 +21,6 @@
 struct VirtualRoute
 {
     std::vector<WeightedService> services; ///< At least one.
-    bool idempotent = false; ///< Callers may send the route's requests again.
 
     bool operator==(const VirtualRoute &) const = default;
 };
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -91,6 +91,7 @@
     std::vector<TimePoint> m_greeted; ///< Per backend.
     TimePoint m_now{}; ///< Read once per datagram batch.
     TimePoint m_lastPacket{};
+    std::uint64_t m_lostDatagrams = 0; ///< As logged.
     TimePoint m_lastExpiry{};
     TimePoint m_drainBegan{};
     bool m_evacuationsKnown = false;
--- a/src/http-service.cc
+++ b/src/http-service.cc
@@ -65,9 +65,4 @@
     return m_server->port;
 }
 
-void HttpService::close()
-{
-    m_server->http.close_async([] {}, [](const std::exception_ptr &) {});
-}
-
 } // namespace oriolelever
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -1,6 +1,9 @@
 #include "oriolelever/object-follower.h"
 
 #include <algorithm>
+#include <random>
+
+#include <asio/steady_timer.hpp>
 
 namespace oriolelever {
 
--- a/src/packet-port.cc
+++ b/src/packet-port.cc
@@ -44,7 +44,7 @@
     const auto count = m_batch.receive(m_socket);
     for (std::size_t i = 0; i < count; ++i) {
         if (m_batch.isCut(i)) {
-            ++m_cut;
+            ++m_lost;
             continue;
         }
         m_handler(m_batch.datagram(i), toEndpoint(m_batch.sender(i)));
@@ -76,7 +76,7 @@
 
 void PacketPort::flush()
 {
-    m_refused += m_sends.flush(m_socket);
+    m_lost += m_sends.flush(m_socket);
     m_copied = 0;
 }
 
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -11,7 +11,7 @@
 constexpr std::uint8_t messageVersion = 1;
 constexpr std::size_t ipv4Size = 4;
 constexpr std::size_t ipv4Offset = 12; ///< Of the IPv4 bytes in a mapped address.
-constexpr std::size_t helloSize = peerHeaderSize + 10;
+constexpr std::size_t helloSize = peerHeaderSize + 9;
 constexpr std::size_t reportSize = peerHeaderSize + 39;
 constexpr std::uint8_t unlistedFlag = 1;
 
@@ -140,39 +140,24 @@
 {
     encodePeerHeader(out, {.type = PeerMessageType::Hello, .number = hello.lifetime});
     std::uint8_t *at = out.data() + peerHeaderSize;
-    const auto count = std::min(hello.balancers.size(), maxHelloPeers);
     at[0] = hello.unlisted ? unlistedFlag : 0;
-    at[1] = static_cast<std::uint8_t>(count);
-    write32(at + 2, hello.coldFlowsPerSecond);
-    write32(at + 6, clampedMilliseconds(hello.idleLimit));
-    at += helloSize - peerHeaderSize;
-    for (std::size_t i = 0; i < count; ++i) {
-        std::copy_n(hello.balancers[i].bytes.begin() + ipv4Offset, ipv4Size, at + i * ipv4Size);
-    }
-    return helloSize + count * ipv4Size;
+    write32(at + 1, hello.coldFlowsPerSecond);
+    write32(at + 5, clampedMilliseconds(hello.idleLimit));
+    return helloSize;
 }
 
 bool decodeHello(std::span<const std::uint8_t> bytes, Hello &out)
 {
     PeerHeader header;
     if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Hello
-        || bytes.size() < helloSize) {
+        || bytes.size() != helloSize) {
         return false;
     }
     const std::uint8_t *at = bytes.data() + peerHeaderSize;
-    const std::size_t count = at[1];
-    if (count > maxHelloPeers || bytes.size() != helloSize + count * ipv4Size) {
-        return false;
-    }
     out.lifetime = header.number;
     out.unlisted = (at[0] & unlistedFlag) != 0;
-    out.coldFlowsPerSecond = read32(at + 2);
-    out.idleLimit = std::chrono::milliseconds(read32(at + 6));
-    out.balancers.clear();
-    at += helloSize - peerHeaderSize;
-    for (std::size_t i = 0; i < count; ++i) {
-        out.balancers.push_back(mappedAddress(at + i * ipv4Size));
-    }
+    out.coldFlowsPerSecond = read32(at + 1);
+    out.idleLimit = std::chrono::milliseconds(read32(at + 5));
     return true;
 }
 
--- a/src/presence.cc
+++ b/src/presence.cc
@@ -1,5 +1,7 @@
 #include "oriolelever/presence.h"
 
+#include <random>
+
 #include <asio/steady_timer.hpp>
 
 #include "oriolelever/object-follower.h"
--- a/test/event-log-test.cc
+++ b/test/event-log-test.cc
@@ -1,5 +1,10 @@
 #include "oriolelever/event-log.h"
 
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -86,5 +91,55 @@
     EXPECT_FALSE(lines().empty());
 }
 
+std::string contentOf(const std::string &file)
+{
+    std::ifstream in(ORIOLELEVER_SOURCE_DIR "/" + file);
+    EXPECT_TRUE(in) << file;
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// Everything in `text` that the first group of `pattern` matches.
+std::set<std::string> allMatches(const std::string &text, const std::regex &pattern)
+{
+    std::set<std::string> found;
+    for (std::sregex_iterator match(text.begin(), text.end(), pattern), end; match != end; ++match) {
+        found.insert((*match)[1]);
+    }
+    return found;
+}
+
+const std::vector<std::string> writers{"src/steering-node.cc", "src/gate-node.cc", "platform/main.cc"};
+
+TEST(OperationsPageTest, ListsEveryEventOfTheLog)
+{
+    const auto page = contentOf("docs/OPERATIONS.md");
+    const std::regex call(R"(log\.write\([^,]*,([^,;]*"[a-z_]+"[^,;]*)[,;])");
+    const std::regex name(R"re("([a-z_]+)")re");
+    std::set<std::string> events;
+    for (const auto &file : writers) {
+        for (const auto &arguments : allMatches(contentOf(file), call)) {
+            events.merge(allMatches(arguments, name));
+        }
+    }
+    EXPECT_GT(events.size(), 20U);
+    for (const auto &event : events) {
+        EXPECT_NE(page.find(event), std::string::npos) << event;
+    }
+}
+
+TEST(OperationsPageTest, ListsEveryMetricOfThePlatformsProcesses)
+{
+    const auto page = contentOf("docs/OPERATIONS.md");
+    const std::regex metric(R"re("(oriolelever_[a-z_]+)")re");
+    std::set<std::string> metrics;
+    for (const auto &file : writers) {
+        metrics.merge(allMatches(contentOf(file), metric));
+    }
+    EXPECT_GT(metrics.size(), 6U);
+    for (const auto &name : metrics) {
+        EXPECT_NE(page.find(name), std::string::npos) << name;
+    }
+}
+
 } // namespace
 } // namespace oriolelever
