Walks of unknown flows rank the note keepers no more; one way to give a packet back

Cause: each step of a search ranked all agents anew although none was left to be asked for a note; the agent wrote the header of a returned packet in two places; a probe kept a flag that nobody read. Ruled out: merging the backoffs of the follower and the presence, which already share one function. Change: the ranking is made only while agents are to be asked, giveBack takes the port, the flag is gone.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -72,8 +72,9 @@
     void onServerPacket(std::span<std::uint8_t> bytes);
     void onNote(std::span<std::uint8_t> bytes);
     void onFind(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer);
-    void giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason,
-                  std::uint32_t number = 0);
+    /// Sends the packet back by the port that it came in by, whose batch holds its bytes.
+    void giveBack(PacketPort &port, std::span<std::uint8_t> bytes, const IpAddress &balancer,
+                  ReturnReason reason, std::uint32_t number = 0);
     /// Tells the callers of all flows that their server has ended.
     void resetCallers(std::string_view cause);
     void reportAll();
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -99,7 +99,6 @@
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
-    bool timedOut = false;
 };
 
 GateNode::GateNode(asio::io_context &context, GateNodeOptions options, EventLog &log, Metrics &metrics)
@@ -206,7 +205,7 @@
         }
         return;
     case GateAct::Return:
-        giveBack(packet, from.address, decision.reason);
+        giveBack(m_relay, packet, from.address, decision.reason);
         m_log.write(m_now, "packet_returned", "flow", flowText(segment.source, segment.destination), "reason",
                     toString(decision.reason), "server_state", toString(m_state.server), "opening",
                     segment.opens());
@@ -232,21 +231,21 @@
 {
     const auto key = flowFromCaller(segment);
     if (m_state.flows.contains(key)) {
-        giveBack(packet, balancer, ReturnReason::Noted, ipv4Number(m_options.relay.address));
+        giveBack(m_relay, packet, balancer, ReturnReason::Noted, ipv4Number(m_options.relay.address));
         return;
     }
     const auto *holder = notedHolder(m_state, key);
-    giveBack(packet, balancer, holder != nullptr ? ReturnReason::Noted : ReturnReason::NotNoted,
+    giveBack(m_relay, packet, balancer, holder != nullptr ? ReturnReason::Noted : ReturnReason::NotNoted,
              holder != nullptr ? ipv4Number(*holder) : 0);
 }
 
-void GateNode::giveBack(std::span<std::uint8_t> bytes, const IpAddress &balancer, ReturnReason reason,
-                        std::uint32_t number)
+void GateNode::giveBack(PacketPort &port, std::span<std::uint8_t> bytes, const IpAddress &balancer,
+                        ReturnReason reason, std::uint32_t number)
 {
     m_counters->returned.Increment();
     const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
     encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason, .number = number});
-    m_relay.send(message, {balancer, m_options.balancerPort});
+    port.send(message, {balancer, m_options.balancerPort});
 }
 
 void GateNode::onHello(std::span<std::uint8_t> bytes, const Endpoint &from)
@@ -299,10 +298,7 @@
         return;
     }
     m_options.format.clearReturned(bytes);
-    m_counters->returned.Increment();
-    const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
-    encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason});
-    m_outbound.send(message, {ipv4Address(segment.mark), m_options.balancerPort});
+    giveBack(m_outbound, bytes, ipv4Address(segment.mark), reason);
 }
 
 HeartbeatOutcome GateNode::onHeartbeat(const ServerHeartbeat &heartbeat)
@@ -403,7 +399,6 @@
     m_probe->timer.expires_after(m_options.probeLimit);
     m_probe->timer.async_wait([this](const asio::error_code &error) {
         if (!error && m_probe) {
-            m_probe->timedOut = true;
             m_probe->socket.close();
         }
     });
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -180,11 +180,13 @@
     flow.offeredSequence = segment.sequence;
     flow.offeredAcknowledgement = segment.acknowledgement;
     flow.offered = now;
-    const auto directories = directoriesOf(state, flowFromCaller(segment), now);
-    while (flow.asked < directories.size()) {
-        const auto agent = directories[flow.asked++];
-        if (agent != noBackend && isHeard(state, state.backends[agent], now)) {
-            return ask(flow, agent);
+    if (flow.asked < noteAgents) {
+        const auto directories = directoriesOf(state, flowFromCaller(segment), now);
+        while (flow.asked < directories.size()) {
+            const auto agent = directories[flow.asked++];
+            if (agent != noBackend && isHeard(state, state.backends[agent], now)) {
+                return ask(flow, agent);
+            }
         }
     }
     flow.holder = nextToAsk(state, route, flow, now);
