A server start after its host's clock was set back is heard

Cause: a start whose own account of its birth is earlier than that of the start before it was taken for an overtaken call for ever, so that its server got no flow. Ruled out: trusting sequence numbers across starts; they begin anew. A single delayed call changes nothing.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -79,6 +79,9 @@
     BackendState server = BackendState::Unknown;
     ServerHeartbeat heartbeat; ///< The last one taken.
     TimePoint heard{}; ///< When it came.
+    /// A start that is earlier by its own account than the one in `heartbeat`, as last heard.
+    std::uint64_t earlierBornAt = 0;
+    std::uint64_t earlierSequence = 0;
     TimePoint coldUntil{};
     std::uint32_t coldFlowsPerSecond = 0; ///< Nothing is known before a balancer has told.
     std::chrono::milliseconds idleLimit{0};
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -73,6 +73,17 @@
         || state.server == BackendState::Silent;
 }
 
+// A host's clock may be set back between two starts of its server. The one that goes on calling while the other
+// has fallen silent is the present one; a single call may have been delayed on its way.
+bool replacesLaterStart(GateState &state, const ServerHeartbeat &heartbeat, TimePoint now)
+{
+    const bool goesOn
+        = heartbeat.bornAt == state.earlierBornAt && heartbeat.sequence > state.earlierSequence;
+    state.earlierBornAt = heartbeat.bornAt;
+    state.earlierSequence = heartbeat.sequence;
+    return goesOn && now - state.heard > state.options.heartbeatLimit;
+}
+
 ServiceId currentService(const GateState &state)
 {
     return state.heard != TimePoint{} ? idOf<ServiceId>(state.heartbeat.service) : state.options.service;
@@ -240,8 +251,8 @@
 {
     const auto &last = state.heartbeat;
     const bool known = state.heard != TimePoint{};
-    const bool isNewStart = !known || heartbeat.bornAt > last.bornAt;
-    if (known && heartbeat.bornAt < last.bornAt) {
+    const bool isNewStart = !known || heartbeat.bornAt != last.bornAt;
+    if (known && heartbeat.bornAt < last.bornAt && !replacesLaterStart(state, heartbeat, now)) {
         return HeartbeatOutcome::Outdated;
     }
     if (known && !isNewStart && heartbeat.sequence <= last.sequence) {
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -134,6 +134,22 @@
     EXPECT_EQ(state.server, BackendState::Draining);
 }
 
+TEST_F(ServerGateTest, AStartAfterTheClockWasSetBackIsHeard)
+{
+    beReady();
+    auto later = heartbeat(1);
+    later.bornAt -= 2000;
+    EXPECT_EQ(take(later), HeartbeatOutcome::Outdated) << "the other start may still run";
+    now += state.options.heartbeatLimit + milliseconds(1);
+    EXPECT_EQ(take(later), HeartbeatOutcome::Outdated) << "the same call again";
+    later.sequence = 4;
+    EXPECT_EQ(take(later), HeartbeatOutcome::NewStart);
+    later.sequence = 5;
+    now += milliseconds(1200);
+    EXPECT_EQ(take(later), HeartbeatOutcome::Taken);
+    EXPECT_EQ(admit(state, fromCaller(true), service, now).act, GateAct::Deliver);
+}
+
 TEST_F(ServerGateTest, AServerThatLeftStaysGoneUntilItsNextStart)
 {
     beReady();
