A balancer that hears no agent resets no open flow and turns callers away

Cause: after a standstill or behind a cut all agents count as lost, so that the search for an unknown flow ended at once with a reset although its server lived; and the health check stayed good, so that routers kept sending. Ruled out: a longer limit for lost agents: it would leave callers of dead servers waiting. Change: isCutOff (no agent heard for 1.5 s) leaves searches undecided and the health check bad; noteStandstill (no turn of the event loop for 0.7 s) makes agents be heard anew before anything is refused; a line stood_still.

--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -34,6 +34,7 @@
     std::chrono::milliseconds longSilence{20'000};
     std::chrono::milliseconds turnAway{1500}; ///< Routers look every 500 ms and need two misses.
     std::chrono::milliseconds quiet{400}; ///< Without packets, when draining.
+    std::chrono::milliseconds standstill{700}; ///< Without a turn of the event loop; as `silentAfter`.
 };
 
 /// Steers callers' packets. All calls on the control thread.
@@ -69,6 +70,8 @@
 private:
     struct Counters;
 
+    /// Reads the clock, and notices that the process stood still.
+    void wake();
     void onCallerPacket(std::span<std::uint8_t> bytes);
     void onLinkMessage(std::span<std::uint8_t> bytes, const Endpoint &from);
     void onReport(std::span<std::uint8_t> bytes, const Endpoint &from);
@@ -90,6 +93,7 @@
     std::unique_ptr<Counters> m_counters;
     std::vector<TimePoint> m_greeted; ///< Per backend.
     TimePoint m_now{}; ///< Read once per datagram batch.
+    TimePoint m_lastTurn{}; ///< Of the event loop.
     TimePoint m_lastPacket{};
     std::uint64_t m_lostDatagrams = 0; ///< As logged.
     TimePoint m_lastExpiry{};
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -25,8 +25,8 @@
     std::chrono::milliseconds silentAfter{700}; ///< Three and a half report periods without a report.
     std::chrono::milliseconds settleTime{400}; ///< Two report periods, for the first report of an agent.
     std::chrono::milliseconds entryTime{3000}; ///< An agent that has just started may not have its entry yet.
-    /// A silent agent no longer keeps an unknown flow from being reset: twice the 0.65 s of a planned
-    /// restart.
+    /// A silent agent no longer keeps an unknown flow from being reset, and a balancer that hears none is cut
+    /// off: twice the 0.65 s of a planned restart.
     std::chrono::milliseconds lostAfter{1500};
     std::chrono::milliseconds searchPause{150}; ///< Shorter than a caller's first retransmission, 200 ms.
     /// After a search that stayed undecided; doubles with each. An agent that the platform restarts is heard
@@ -142,6 +142,13 @@
 /// Whether each agent has reported or had time for a first report; callers repeat their packets meanwhile.
 bool isSettled(const SteeringState &state, TimePoint now);
 
+/// Whether no agent has been heard for longer than all of them need to restart. Such a balancer can serve
+/// nobody, and cannot tell whether a flow's server lives.
+bool isCutOff(const SteeringState &state, TimePoint now);
+
+/// The process did not run for a while: agents have reported meanwhile, and are heard as soon as it reads on.
+void noteStandstill(SteeringState &state, TimePoint now);
+
 /// Takes what an agent says of itself.
 void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now);
 
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -82,7 +83,6 @@
 
 Result<void> SteeringNode::open()
 {
-    m_now = steadyNow();
     BOOST_LEAF_CHECK(
         m_callers.open(m_options.callers,
                        [this](std::span<std::uint8_t> bytes, const Endpoint &) { onCallerPacket(bytes); }));
@@ -97,7 +97,7 @@
     m_link.afterBatch = [this] {
         m_now = {};
     };
-    m_log.write(m_now, "started", "role", "balancer", "callers", toString(m_options.callers), "link",
+    m_log.write(steadyNow(), "started", "role", "balancer", "callers", toString(m_options.callers), "link",
                 toString(m_options.link));
     scheduleTick();
     return {};
@@ -137,8 +137,9 @@
 
 bool SteeringNode::isReady() const
 {
-    return m_state.configured && m_evacuationsKnown && m_state.rosterKnown && isSettled(m_state, steadyNow())
-        && !m_draining;
+    const auto now = steadyNow();
+    return m_state.configured && m_evacuationsKnown && m_state.rosterKnown && isSettled(m_state, now)
+        && !isCutOff(m_state, now) && !m_draining;
 }
 
 void SteeringNode::setTable(RoutingTable table)
@@ -180,10 +181,22 @@
     tick();
 }
 
+void SteeringNode::wake()
+{
+    const auto now = steadyNow();
+    const auto pause = now - m_lastTurn;
+    if (m_lastTurn != TimePoint{} && pause > m_options.standstill) {
+        noteStandstill(m_state, now);
+        m_log.write(now, "stood_still", "pause_ms", pause, "agents", m_state.backends.size());
+    }
+    m_now = now;
+    m_lastTurn = now;
+}
+
 void SteeringNode::onCallerPacket(std::span<std::uint8_t> bytes)
 {
     if (m_now == TimePoint{}) {
-        m_now = steadyNow();
+        wake();
     }
     m_lastPacket = m_now;
     Segment segment;
@@ -256,7 +269,7 @@
 void SteeringNode::onLinkMessage(std::span<std::uint8_t> bytes, const Endpoint &from)
 {
     if (m_now == TimePoint{}) {
-        m_now = steadyNow();
+        wake();
     }
     PeerHeader header;
     if (!decodePeerHeader(bytes, header)) {
@@ -335,7 +348,8 @@
 
 void SteeringNode::tick()
 {
-    const auto now = steadyNow();
+    wake();
+    const auto now = std::exchange(m_now, TimePoint{});
     m_greeted.resize(m_state.backends.size());
     std::size_t heard = 0;
     for (std::size_t i = 0; i < m_state.backends.size(); ++i) {
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -150,6 +150,9 @@
 // An agent that was heard of but cannot be asked now may hold any flow.
 bool allCouldBeAsked(const SteeringState &state, TimePoint now)
 {
+    if (isCutOff(state, now)) {
+        return false;
+    }
     return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
         const auto since = std::max(backend.reported, backend.introduced);
         return !isHeard(state, backend, now) && now - since < state.options.lostAfter;
@@ -341,6 +344,22 @@
     });
 }
 
+bool isCutOff(const SteeringState &state, TimePoint now)
+{
+    return !state.backends.empty()
+        && std::all_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
+               return now - std::max(backend.reported, backend.introduced) > state.options.lostAfter;
+           });
+}
+
+void noteStandstill(SteeringState &state, TimePoint now)
+{
+    for (auto &backend : state.backends) {
+        backend.reported = {};
+        backend.introduced = now;
+    }
+}
+
 void takeReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now)
 {
     auto &backend = state.backends[index];
