Calls to a silent platform are given up after 0.6 s at first

Cause: a process that starts while the store is silent waited 1.5 s for its first call, also when the store was back meanwhile; a balancer serves nobody before it has listed. Ruled out: a fixed short limit: a store that is slow beyond it would never be read. Change: the limit starts at 0.6 s, doubles up to 4.8 s with each call that is not answered, and is three times the last answer's time otherwise.

--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -191,6 +191,16 @@
 
 enum class CallKind { Read, Write };
 
+/// Limits of a call to the platform that should be answered at once.
+constexpr std::chrono::milliseconds firstCallTimeout{600}; ///< More than twice a slow answer of 60 x 4 ms.
+constexpr std::chrono::milliseconds longestCallTimeout{4800}; ///< Three doublings.
+
+/// The limit of the next call after one that was answered in `took`. Short, so that a platform that was
+/// silent is asked again soon after its return; longer for a slow one.
+std::chrono::milliseconds timeoutAfterAnswer(std::chrono::milliseconds took);
+/// The same after a call that was not answered within `timeout`.
+std::chrono::milliseconds timeoutAfterSilence(std::chrono::milliseconds timeout);
+
 /// Error of an HTTP answer, `Code::Ok` for success. `subject` names the object, such as `zone "bergamo"`.
 Error interpretAnswer(const HttpAnswer &answer, CallKind kind, const std::string &subject);
 
--- a/src/platform-policy.cc
+++ b/src/platform-policy.cc
@@ -179,6 +179,16 @@
     backoff.notBefore = {};
 }
 
+std::chrono::milliseconds timeoutAfterAnswer(std::chrono::milliseconds took)
+{
+    return std::clamp(3 * took, firstCallTimeout, longestCallTimeout);
+}
+
+std::chrono::milliseconds timeoutAfterSilence(std::chrono::milliseconds timeout)
+{
+    return std::min(2 * timeout, longestCallTimeout);
+}
+
 Error interpretAnswer(const HttpAnswer &answer, CallKind kind, const std::string &subject)
 {
     switch (answer.state) {
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -254,6 +254,25 @@
     EXPECT_EQ(answered, 1000);
 }
 
+TEST(PlatformPolicyTest, TimeLimitsFollowThePlatform)
+{
+    using std::chrono::milliseconds;
+    EXPECT_EQ(timeoutAfterAnswer(milliseconds(4)), firstCallTimeout);
+    EXPECT_GT(timeoutAfterAnswer(milliseconds(240)), milliseconds(240))
+        << "a slow platform is still waited for";
+    auto timeout = firstCallTimeout;
+    milliseconds waited{0};
+    while (timeout < milliseconds(1000)) {
+        waited += timeout;
+        timeout = timeoutAfterSilence(timeout);
+    }
+    EXPECT_LT(waited, milliseconds(1000)) << "an answer that takes a second is had by the second call";
+    for (int i = 0; i < 10; ++i) {
+        timeout = timeoutAfterSilence(timeout);
+    }
+    EXPECT_EQ(timeout, longestCallTimeout);
+}
+
 TEST(PlatformPolicyTest, StatusesAreInterpreted)
 {
     const auto code = [](int status, CallKind kind) {
