Searches go on where they ended; fault soak; metrics of the process

Cause: a search that stayed undecided began anew with all agents, although flows never move and a "not held" stays true; and an agent that was away kept a search undecided even where it had already answered. Ruled out: fewer agents per search: any of them may hold the flow. Change: agents that gave the packet back are not asked again, and need not be heard again.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -84,12 +84,14 @@
     bool noted = false; ///< Notes of the holder were sent.
     std::uint8_t undecided = 0; ///< Searches in a row that stayed undecided.
     std::uint8_t asked = 0; ///< Agents that the search has asked for a note.
-    bool unclear = false; ///< An agent of the search neither kept nor gave back the packet.
     std::uint32_t offeredSequence = 0; ///< Of the packet that the holder was offered.
     std::uint32_t offeredAcknowledgement = 0; ///< Of the same packet; it grows once the server answers.
     TimePoint offered{};
     TimePoint exhausted{}; ///< When the last search ended without a holder.
-    std::vector<BackendIndex> tried; ///< Agents that gave back a packet of it.
+    std::vector<BackendIndex>
+        tried; ///< Agents that gave back a packet of it; flows never move to another server.
+    std::vector<BackendIndex>
+        mute; ///< Agents that neither kept nor gave back a packet of the present search.
 };
 
 enum class SteeringAct : std::uint8_t {
--- a/lab/cmd-replay.cc
+++ b/lab/cmd-replay.cc
@@ -11,7 +11,6 @@
 ABSL_FLAG(std::string, deployment, "bellandi", "deployment: bellandi, swn or large");
 ABSL_FLAG(std::string, out, "", "file to write instead of standard output");
 ABSL_FLAG(std::string, baseline, "", "hash or table instead of directories");
-ABSL_FLAG(std::string, seeds, "1-20", "seeds to sweep, FIRST-LAST");
 
 namespace oriolelever::lab {
 
@@ -115,25 +114,6 @@
         failedCall);
 }
 
-struct SeedRange
-{
-    std::uint64_t first = 0;
-    std::uint64_t last = 0;
-};
-
-Result<SeedRange> seedRange()
-{
-    const auto text = absl::GetFlag(FLAGS_seeds);
-    SeedRange range;
-    char extra = 0;
-    // NOLINTNEXTLINE: the counts are checked.
-    const int read = std::sscanf(text.c_str(), "%lu-%lu%c", &range.first, &range.last, &extra);
-    if (read != 2 || range.first > range.last) {
-        return fail(Code::UsageInvalid, fmt::format("flag \"--seeds\" does not allow \"{}\"", text));
-    }
-    return range;
-}
-
 // Sums over seeds; of ratios, the worst.
 struct SweepTotals
 {
@@ -187,7 +167,12 @@
 
 Result<int> sweepSeeds()
 {
-    BOOST_LEAF_AUTO(range, seedRange());
+    SeedRange range{.first = 1, .last = 20};
+    const auto text = absl::GetFlag(FLAGS_seeds);
+    if (!text.empty() && !parseSeeds(text, range)) {
+        return fail(Code::UsageInvalid,
+                    fmt::format("flag \"--seeds\" does not allow \"{}\"; allowed: FIRST-LAST", text));
+    }
     BOOST_LEAF_AUTO(baseline, baselineOfFlag());
     SweepTotals totals;
     std::vector<std::string> shortSeeds;
--- a/lab/cmd-requests.cc
+++ b/lab/cmd-requests.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 #include <absl/flags/flag.h>
 #include <fmt/format.h>
@@ -32,17 +31,6 @@
                                        {"crossed", Mutation::CrossedPassed},
                                        {"end", Mutation::EndForgotten}}};
 
-bool parseSeeds(const std::string &text, std::uint64_t &first, std::uint64_t &last)
-{
-    const auto *const end = text.data() + text.size();
-    const auto begun = std::from_chars(text.data(), end, first);
-    if (begun.ec != std::errc{} || begun.ptr == end || *begun.ptr != '-') {
-        return false;
-    }
-    const auto ended = std::from_chars(begun.ptr + 1, end, last);
-    return ended.ec == std::errc{} && ended.ptr == end && first <= last;
-}
-
 void add(HistoryFigures &sum, const HistoryFigures &one)
 {
     sum.sent += one.sent;
@@ -171,13 +159,12 @@
     if (plant == plants.end()) {
         return usageError(fmt::format("--plant \"{}\" is not a known defect", planted));
     }
-    auto first = seed;
-    auto last = seed;
+    SeedRange range{.first = seed, .last = seed};
     const auto seeds = absl::GetFlag(FLAGS_request_seeds);
-    if (!seeds.empty() && !parseSeeds(seeds, first, last)) {
+    if (!seeds.empty() && !parseSeeds(seeds, range)) {
         return usageError(fmt::format("--request_seeds \"{}\" is not FIRST-LAST", seeds));
     }
-    return runSeeds(first, last, plant->mutation);
+    return runSeeds(range.first, range.last, plant->mutation);
 }
 
 } // namespace
--- a/lab/commands.h
+++ b/lab/commands.h
@@ -29,5 +29,7 @@
 
 /// Runs callers, agents and faulty backend servers in virtual time.
 Command requestsCommand();
+/// Runs the small programs under faults.
+Command soakCommand();
 
 } // namespace oriolelever::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -16,6 +16,7 @@
         oriolelever::lab::requestsCommand(),
         oriolelever::lab::controlCommand(),
         oriolelever::lab::stabilityCommand(),
+        oriolelever::lab::soakCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
--- /dev/null
+++ b/src/process-metrics.cc
@@ -0,0 +1,127 @@
+#include "oriolelever/process-metrics.h"
+
+#include <fstream>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <unistd.h>
+
+namespace oriolelever {
+
+namespace {
+
+constexpr std::chrono::seconds updatePeriod{1};
+// Seconds; a platform answers in milliseconds, a slow one in a quarter of a second.
+const prometheus::Histogram::BucketBoundaries callBounds{0.002, 0.01, 0.05, 0.25, 1, 5};
+
+double seconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+struct ProcessMetrics::Families
+{
+    explicit Families(prometheus::Registry &registry)
+        : calls(prometheus::BuildCounter()
+                    .Name("oriolelever_platform_calls_total")
+                    .Help("Calls to the platform by kind and outcome")
+                    .Register(registry))
+        , callTime(prometheus::BuildHistogram()
+                       .Name("oriolelever_platform_call_seconds")
+                       .Help("Time of calls to the platform that do not wait for changes")
+                       .Register(registry)
+                       .Add({}, callBounds))
+        , answerAge(prometheus::BuildGauge()
+                        .Name("oriolelever_platform_answer_age_seconds")
+                        .Help("Time since the platform's last answer by kind of call")
+                        .Register(registry))
+        , loopDelay(prometheus::BuildGauge()
+                        .Name("oriolelever_event_loop_delay_seconds")
+                        .Help("How late the event loop was in the last second")
+                        .Register(registry)
+                        .Add({}))
+        , memory(prometheus::BuildGauge()
+                     .Name("oriolelever_resident_memory_bytes")
+                     .Help("Resident memory")
+                     .Register(registry)
+                     .Add({}))
+        , suppressed(prometheus::BuildGauge()
+                         .Name("oriolelever_log_lines_suppressed")
+                         .Help("Log lines left out since the start")
+                         .Register(registry)
+                         .Add({}))
+    {
+    }
+
+    prometheus::Family<prometheus::Counter> &calls;
+    prometheus::Histogram &callTime;
+    prometheus::Family<prometheus::Gauge> &answerAge;
+    prometheus::Gauge &loopDelay;
+    prometheus::Gauge &memory;
+    prometheus::Gauge &suppressed;
+};
+
+ProcessMetrics::ProcessMetrics(asio::io_context &context, Metrics &metrics, const EventLog &log)
+    : m_log(log)
+    , m_timer(context)
+    , m_families(std::make_unique<Families>(metrics.registry()))
+{
+}
+
+ProcessMetrics::~ProcessMetrics() = default;
+
+void ProcessMetrics::start()
+{
+    scheduleUpdate();
+}
+
+void ProcessMetrics::noteCall(std::string_view call, std::string_view outcome, Duration took)
+{
+    m_families->calls.Add({{"call", std::string(call)}, {"outcome", std::string(outcome)}}).Increment();
+    if (!call.starts_with("watch")) {
+        m_families->callTime.Observe(seconds(took));
+    }
+    if (outcome == "answered") {
+        m_answered[std::string(call)] = std::chrono::steady_clock::now();
+    }
+}
+
+void ProcessMetrics::update(TimePoint now, Duration late)
+{
+    m_families->loopDelay.Set(seconds(late));
+    m_families->memory.Set(static_cast<double>(residentMemory()));
+    m_families->suppressed.Set(static_cast<double>(m_log.suppressed()));
+    for (const auto &[call, answered] : m_answered) {
+        m_families->answerAge.Add({{"call", call}}).Set(seconds(now - answered));
+    }
+}
+
+void ProcessMetrics::scheduleUpdate()
+{
+    const TimePoint due = std::chrono::steady_clock::now() + updatePeriod;
+    m_timer.expires_at(due);
+    m_timer.async_wait([this, due](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        const TimePoint now = std::chrono::steady_clock::now();
+        update(now, now - due);
+        scheduleUpdate();
+    });
+}
+
+std::uint64_t residentMemory()
+{
+    std::ifstream file("/proc/self/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    if (!(file >> total >> resident)) {
+        return 0;
+    }
+    return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
+} // namespace oriolelever
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -73,12 +73,11 @@
         || state.server == BackendState::Silent;
 }
 
-// A host's clock may be set back between two starts of its server. The one that goes on calling while the other
-// has fallen silent is the present one; a single call may have been delayed on its way.
+// A host's clock may be set back between two starts of its server. The one that goes on calling while the
+// other has fallen silent is the present one; a single call may have been delayed on its way.
 bool replacesLaterStart(GateState &state, const ServerHeartbeat &heartbeat, TimePoint now)
 {
-    const bool goesOn
-        = heartbeat.bornAt == state.earlierBornAt && heartbeat.sequence > state.earlierSequence;
+    const bool goesOn = heartbeat.bornAt == state.earlierBornAt && heartbeat.sequence > state.earlierSequence;
     state.earlierBornAt = heartbeat.bornAt;
     state.earlierSequence = heartbeat.sequence;
     return goesOn && now - state.heard > state.options.heartbeatLimit;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -188,7 +188,7 @@
         const auto index = static_cast<BackendIndex>(i);
         const auto &backend = state.backends[i];
         if (!isHeard(state, backend, now) || backend.report.state == BackendState::Gone
-            || contains(flow.tried, index)) {
+            || contains(flow.tried, index) || contains(flow.mute, index)) {
             continue;
         }
         const int zoneRank = backend.report.zone == state.options.zone ? 0 : 1;
@@ -202,16 +202,21 @@
     return best;
 }
 
-// An agent that was heard of but cannot be asked now may hold any flow.
-bool allCouldBeAsked(const SteeringState &state, TimePoint now)
+// An agent that was heard of but cannot be asked now may hold any flow that it has not given back.
+bool allCouldBeAsked(const SteeringState &state, const SteeredFlow &flow, TimePoint now)
 {
     if (isCutOff(state, now)) {
         return false;
     }
-    return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
+    for (std::size_t i = 0; i < state.backends.size(); ++i) {
+        const auto &backend = state.backends[i];
         const auto since = std::max(backend.reported, backend.introduced);
-        return !isHeard(state, backend, now) && now - since < state.options.lostAfter;
-    });
+        const bool isAway = !isHeard(state, backend, now) && now - since < state.options.lostAfter;
+        if (isAway && !contains(flow.tried, static_cast<BackendIndex>(i))) {
+            return false;
+        }
+    }
+    return true;
 }
 
 Duration undecidedPause(const SteeringState &state, const SteeredFlow &flow)
@@ -251,12 +256,11 @@
     if (flow.holder != noBackend) {
         return forward(SteeringCause::Searching, flow.holder);
     }
-    const bool allAnswered = !flow.unclear && allCouldBeAsked(state, now);
+    const bool allAnswered = flow.mute.empty() && allCouldBeAsked(state, flow, now);
     flow.undecided = std::min<std::uint8_t>(flow.undecided + 1, maxPauseDoublings);
     flow.exhausted = now;
-    flow.tried.clear();
     flow.asked = 0;
-    flow.unclear = false;
+    flow.mute.clear();
     return allAnswered ? refuse(SteeringCause::NotHeld) : drop(SteeringCause::Undecided);
 }
 
@@ -299,8 +303,7 @@
     if (!isRepeated) {
         return forward(SteeringCause::Known, flow.holder);
     }
-    flow.unclear = true;
-    flow.tried.push_back(flow.holder);
+    flow.mute.push_back(flow.holder);
     return searchOn(state, route, flow, segment, now);
 }
 
--- a/test/event-log-test.cc
+++ b/test/event-log-test.cc
@@ -108,8 +108,9 @@
     return found;
 }
 
-const std::vector<std::string> writers{"src/steering-node.cc", "src/gate-node.cc", "platform/agent.cc",
-                                       "platform/balancer.cc", "platform/process.cc"};
+const std::vector<std::string> writers{"src/steering-node.cc", "src/gate-node.cc",
+                                       "platform/agent.cc",    "platform/balancer.cc",
+                                       "platform/process.cc",  "src/process-metrics.cc"};
 
 TEST(OperationsPageTest, ListsEveryEventOfTheLog)
 {
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -305,6 +305,20 @@
     EXPECT_LE(searches, 3) << "in the two seconds after which a flow counts as broken";
 }
 
+TEST_F(SteeringTest, ASearchGoesOnWithTheAgentsThatDidNotAnswer)
+{
+    threeReady();
+    state.backends[indexOf("10.0.0.3")].reported -= state.options.silentAfter;
+    const auto [offered, undecided] = searchAll(1, data(1));
+    EXPECT_EQ(offered.size(), 2U);
+    EXPECT_EQ(undecided.cause, SteeringCause::Undecided);
+    now += state.options.silentAfter;
+    report("10.0.0.3", {.state = BackendState::Ready});
+    const auto [offeredLater, decision] = searchAll(1, data(1));
+    EXPECT_EQ(offeredLater, std::set<BackendIndex>{indexOf("10.0.0.3")}) << "the others have answered";
+    EXPECT_EQ(decision.cause, SteeringCause::NotHeld);
+}
+
 TEST_F(SteeringTest, ASearchEndsAtTheServerThatKeepsThePacket)
 {
     threeReady();
--- /dev/null
+++ b/test/store-server-test.cc
@@ -0,0 +1,164 @@
+// The stand-in of the users' store, by the system's own client.
+#include "store-server.h"
+
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "boot-settings.h"
+#include "documents.h"
+#include "event-loop.h"
+#include "standin-wire.h"
+#include "store-client.h"
+
+namespace oriolelever::platform::standin {
+namespace {
+
+using std::chrono::milliseconds;
+
+class StoreServerTest : public testing::Test
+{
+public:
+    StoreServerTest()
+    {
+        Endpoint any;
+        EXPECT_TRUE(parseEndpoint("127.0.0.1:0", any));
+        server = std::make_unique<StoreServer>(context, any, 1);
+        runUntil(context, [this] { return server->port() != 0; });
+        any.port = server->port();
+        client = std::make_unique<StoreClient>(context, any);
+    }
+
+    template<typename T>
+    Answer<T> wait(const std::function<void(Done<T>)> &call)
+    {
+        std::optional<Answer<T>> answer;
+        call([&answer](const Answer<T> &given) { answer.emplace(given); });
+        runUntil(context, [&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    Answer<Object> write(const Object &object)
+    {
+        return wait<Object>([&](Done<Object> done) { client->write(object, {}, std::move(done)); });
+    }
+
+    Answer<ObjectList> list(const std::string &kind)
+    {
+        return wait<ObjectList>([&](Done<ObjectList> done) { client->list(kind, std::move(done)); });
+    }
+
+    Answer<WatchBatch> watch(std::uint64_t after, milliseconds limit)
+    {
+        return wait<WatchBatch>(
+            [&](Done<WatchBatch> done) { client->watch({"config"}, after, limit, std::move(done)); });
+    }
+
+    asio::io_context context;
+    std::unique_ptr<StoreServer> server;
+    std::unique_ptr<StoreClient> client;
+};
+
+TEST_F(StoreServerTest, WritesAreConditional)
+{
+    const Object entry{.kind = "agents", .name = "a1", .value = {{"host", "10.0.0.1"}}};
+    const auto created = write(entry);
+    ASSERT_TRUE(created);
+    EXPECT_EQ(write(entry).error().code, Code::PlatformConflict);
+    auto changed = created.value();
+    changed.value["host"] = "10.0.0.2";
+    EXPECT_TRUE(write(changed));
+    EXPECT_EQ(write(changed).error().code, Code::PlatformConflict) << "the revision is an older one";
+    EXPECT_EQ(list("agents").value().objects.size(), 1U);
+}
+
+TEST_F(StoreServerTest, AWatchHearsOfChangesAndOfLostHistory)
+{
+    server->put("config", "main", {{"Version", 1}});
+    const auto revision = list("config").value().revision;
+    EXPECT_TRUE(watch(revision, milliseconds(20)).value().events.empty());
+    server->put("config", "main", {{"Version", 2}});
+    const auto heard = watch(revision, milliseconds(20));
+    ASSERT_EQ(heard.value().events.size(), 1U);
+    server->forgetHistory();
+    EXPECT_TRUE(watch(revision, milliseconds(20)).value().restart);
+}
+
+TEST_F(StoreServerTest, FaultsAreToldApart)
+{
+    server->setFaults({.busy = true});
+    EXPECT_EQ(list("config").error().code, Code::PlatformUnreachable);
+    server->setFaults({.lostWrites = 1});
+    const Object entry{.kind = "agents", .name = "a1", .value = {{"host", "10.0.0.1"}}};
+    EXPECT_EQ(write(entry).error().code, Code::PlatformOutcomeUnknown);
+    server->setFaults({});
+    EXPECT_EQ(list("agents").value().objects.size(), 1U) << "the write was done";
+}
+
+TEST(StandinWireTest, TheSystemReadsWhatTheStandInsWrite)
+{
+    Endpoint caller;
+    Endpoint service;
+    ASSERT_TRUE(parseEndpoint("203.0.113.7:4000", caller));
+    ASSERT_TRUE(parseEndpoint("198.18.0.1:443", service));
+    const std::vector<std::uint8_t> payload(40, 'x');
+    auto packet = writePacket(
+        {.source = caller, .destination = service, .ack = true, .sequence = 7, .acknowledgement = 9},
+        payload);
+    Segment read;
+    ASSERT_TRUE(packetFormat().parse(packet, read));
+    EXPECT_EQ(read.source, caller);
+    EXPECT_EQ(read.destination, service);
+    EXPECT_TRUE(read.ack && !read.syn && !read.fin && !read.rst);
+    EXPECT_EQ(read.payloadSize, payload.size());
+    packetFormat().setMark(packet, 12345);
+    EXPECT_TRUE(hasValidSum(packet)) << "the system may write the mark";
+    packet.back() ^= 1;
+    EXPECT_FALSE(hasValidSum(packet));
+}
+
+TEST(StandinWireTest, SettingsHeartbeatsAndConfigurationsAreRead)
+{
+    Endpoint address;
+    ASSERT_TRUE(parseEndpoint("10.0.0.1:80", address));
+    const auto checked = handleError(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(settings,
+                            parseBootSettings(settingsText({.node = "agent-1",
+                                                            .zone = "a",
+                                                            .service = "desk",
+                                                            .address = address.address,
+                                                            .packets = address,
+                                                            .outbound = address,
+                                                            .health = address,
+                                                            .heartbeats = address,
+                                                            .server = address,
+                                                            .store = address,
+                                                            .internalPort = 7720})));
+            EXPECT_EQ(settings.service, "desk");
+            BOOST_LEAF_AUTO(
+                heartbeat,
+                decodeHeartbeat(
+                    "i-1",
+                    heartbeatBody({.bornAt = 5, .sequence = 3, .service = "desk", .zone = "a"}, address)));
+            EXPECT_EQ(heartbeat.sequence, 3U);
+            std::string problems;
+            BOOST_LEAF_AUTO(table,
+                            decodeConfiguration(configurationDocument({.version = 4,
+                                                                       .routes = {{address, "desk"}},
+                                                                       .coldRates = {{"desk", 4}}}),
+                                                1, problems));
+            EXPECT_EQ(problems, "");
+            EXPECT_EQ(table.routes.size(), 1U);
+            EXPECT_EQ(table.coldFlowsPerSecond.size(), 1U);
+            return true;
+        },
+        [](const Error &error) {
+            ADD_FAILURE() << error.text;
+            return false;
+        });
+    EXPECT_TRUE(checked);
+}
+
+} // namespace
+} // namespace oriolelever::platform::standin
