Agents name all flows of servers that have just started

Cause: a loss of power ends the servers too. Their flows exist nowhere, but a balancer learned that only by asking every agent for each of 3200 flows: 2.7 s from a flow's first packet to its reset in the median. Ruled out: resetting what no note names: an agent that restarted alone knows of nothing while its server lives. Change: for a minute after a start that the agent saw, its reports carry a filter of 512 bits with all flows of its server. Balancers do not offer packets to agents that surely lack the flow, and reset it once all have said so after its packet came. LostServersTest.

--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -4,7 +4,9 @@
 /// meaning the type gives. `Relay` and `Return` carry a whole packet behind it.
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -59,6 +61,20 @@
     bool operator==(const Hello &) const = default;
 };
 
+/// A Bloom filter of flows: tells which flows are surely not among them.
+struct FlowFilter
+{
+    static constexpr std::size_t words
+        = 8; ///< 512 bits: of 50 flows one foreign flow in 60 seems to be among them.
+
+    std::array<std::uint64_t, words> bits{};
+
+    void add(const FlowKey &flow);
+    bool mayHold(const FlowKey &flow) const;
+
+    bool operator==(const FlowFilter &) const = default;
+};
+
 /// What an agent tells a balancer of itself and its server.
 struct Report
 {
@@ -71,13 +87,15 @@
     std::uint32_t waiting = 0; ///< Flows with a request that has no answer yet.
     std::chrono::milliseconds coldLeft{0};
     std::uint64_t bornAt = 0; ///< Start of the server, Unix milliseconds; 0 if unknown.
+    /// All flows of the server; absent if the agent does not know them all, or the server started long ago.
+    std::optional<FlowFilter> allFlows;
 
     bool operator==(const Report &) const = default;
 };
 
 constexpr std::size_t peerHeaderSize = 12; ///< Bytes.
 constexpr std::size_t noteSize = peerHeaderSize + 12; ///< Bytes.
-constexpr std::size_t maxPeerMessageSize = 64; ///< Bytes of the largest Hello or Report.
+constexpr std::size_t maxPeerMessageSize = 128; ///< Bytes of the largest Hello or Report.
 
 /// The header of any message.
 struct PeerHeader
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -43,6 +43,8 @@
     std::chrono::milliseconds restartTime{400}; ///< No agent ran on the host for this long before a start.
     std::chrono::milliseconds endedLimit{5000}; ///< Longer than a caller repeats its last packet.
     std::chrono::milliseconds noteLimit{75000}; ///< Longer than the 60 s for which flows are kept whole.
+    std::chrono::milliseconds filterTime{
+        60'000}; ///< After a server's start, for as long as flows are kept whole.
     std::size_t maxNotes = 20000; ///< Two megabytes.
     std::chrono::milliseconds heartbeatLimit{3000}; ///< Two and a half periods of 1.2 s.
     std::chrono::milliseconds defaultIdleLimit{15'000}; ///< Where no balancer has named one.
@@ -94,6 +96,7 @@
     TimePoint unansweredPayload{}; ///< First payload since the server's last packet.
     std::unordered_map<FlowKey, HeldFlow> flows;
     bool sawStart = false; ///< The agent has run since before the server's start: `flows` lacks none.
+    TimePoint startSeen{}; ///< When `sawStart` was last set.
     std::unordered_map<FlowKey, TimePoint>
         lost; ///< Flows that ended with an earlier start of the server, and when.
     std::unordered_map<FlowKey, FlowNote> notes; ///< Flows of any server.
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -88,6 +88,7 @@
     std::uint32_t offeredAcknowledgement = 0; ///< Of the same packet; it grows once the server answers.
     TimePoint offered{};
     TimePoint exhausted{}; ///< When the last search ended without a holder.
+    TimePoint sought{}; ///< When the first search began since the holder was known.
     std::vector<BackendIndex>
         tried; ///< Agents that gave back a packet of it; flows never move to another server.
     std::vector<BackendIndex>
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -11,6 +11,7 @@
 constexpr std::uint8_t messageVersion = 1;
 constexpr std::size_t helloSize = peerHeaderSize + 9;
 constexpr std::size_t reportSize = peerHeaderSize + 39;
+constexpr std::size_t filterSize = FlowFilter::words * sizeof(std::uint64_t);
 constexpr std::uint8_t unlistedFlag = 1;
 
 std::uint32_t clampedMilliseconds(std::chrono::milliseconds time)
@@ -18,8 +19,35 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
 }
 
+// Calls `visit` with the word and the bit of each place of a flow in a filter.
+template<typename Visit>
+void visitPlaces(const FlowKey &flow, Visit visit)
+{
+    constexpr int places = 3;
+    constexpr unsigned bitsPerPlace = 9; // 2^9 bits are in the filter.
+    constexpr unsigned bitsPerWord = 6;
+    auto hash = hashFlow(flow);
+    for (int i = 0; i < places; ++i) {
+        const auto place = hash & ((1U << bitsPerPlace) - 1);
+        visit(place >> bitsPerWord, std::uint64_t{1} << (place & ((1U << bitsPerWord) - 1)));
+        hash >>= bitsPerPlace;
+    }
+}
+
 } // namespace
 
+void FlowFilter::add(const FlowKey &flow)
+{
+    visitPlaces(flow, [this](std::size_t word, std::uint64_t bit) { bits[word] |= bit; });
+}
+
+bool FlowFilter::mayHold(const FlowKey &flow) const
+{
+    bool all = true;
+    visitPlaces(flow, [&](std::size_t word, std::uint64_t bit) { all = all && (bits[word] & bit) != 0; });
+    return all;
+}
+
 std::string_view toString(ReturnReason reason)
 {
     switch (reason) {
@@ -150,14 +178,22 @@
     write32(at + 23, report.waiting);
     write32(at + 27, clampedMilliseconds(report.coldLeft));
     write64(at + 31, report.bornAt);
-    return reportSize;
+    if (!report.allFlows) {
+        return reportSize;
+    }
+    at = out.data() + reportSize;
+    for (const auto word : report.allFlows->bits) {
+        write64(at, word);
+        at += sizeof(word);
+    }
+    return reportSize + filterSize;
 }
 
 bool decodeReport(std::span<const std::uint8_t> bytes, Report &out)
 {
     PeerHeader header;
     if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Report
-        || bytes.size() != reportSize) {
+        || (bytes.size() != reportSize && bytes.size() != reportSize + filterSize)) {
         return false;
     }
     const std::uint8_t *at = bytes.data() + peerHeaderSize;
@@ -173,6 +209,15 @@
     out.waiting = read32(at + 23);
     out.coldLeft = std::chrono::milliseconds(read32(at + 27));
     out.bornAt = read64(at + 31);
+    out.allFlows.reset();
+    if (bytes.size() > reportSize) {
+        at = bytes.data() + reportSize;
+        out.allFlows.emplace();
+        for (auto &word : out.allFlows->bits) {
+            word = read64(at);
+            at += sizeof(word);
+        }
+    }
     return true;
 }
 
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -270,6 +270,7 @@
     if (isNewStart) {
         state.sawStart = known || state.heartbeat.sequence == firstSequence
             || startedBeforeServer(state, now, timeOfDay);
+        state.startSeen = state.sawStart ? now : TimePoint{};
         return known ? HeartbeatOutcome::NewStart : HeartbeatOutcome::First;
     }
     return before == state.server ? HeartbeatOutcome::Taken : HeartbeatOutcome::Changed;
@@ -359,6 +360,14 @@
 Report reportOf(const GateState &state, std::uint64_t lifetime, TimePoint now)
 {
     const bool known = state.heard != TimePoint{};
+    const bool holdsFlows = state.server == BackendState::Ready || state.server == BackendState::Draining;
+    std::optional<FlowFilter> allFlows;
+    if (state.sawStart && holdsFlows && now - state.startSeen < state.options.filterTime) {
+        allFlows.emplace();
+        for (const auto &[key, flow] : state.flows) {
+            allFlows->add(key);
+        }
+    }
     const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(state.coldUntil - now);
     return {
         .lifetime = lifetime,
@@ -370,6 +379,7 @@
         .waiting = state.waiting,
         .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
         .bornAt = state.heartbeat.bornAt,
+        .allFlows = allFlows,
     };
 }
 
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -17,6 +17,8 @@
     return value ^ (value >> 33);
 }
 
+/// A report may have left its agent this long before it came: the delay between zones and in queues.
+constexpr std::chrono::milliseconds transitTime{50};
 constexpr std::uint8_t maxPauseDoublings = 4; ///< Of the pause after undecided searches: 24 s.
 
 // The servers with the highest scores for a flow, best first.
@@ -176,6 +178,12 @@
     });
 }
 
+// The agent knows all flows of its server, and this one is not among them.
+bool surelyLacks(const Backend &backend, const FlowKey &key)
+{
+    return backend.report.allFlows && !backend.report.allFlows->mayHold(key);
+}
+
 // Servers of the route's services come first: those that the flow's key ranks highest, then the own zone.
 BackendIndex nextToAsk(const SteeringState &state, const VirtualRoute &route, const FlowKey &key,
                        const SteeredFlow &flow, TimePoint now)
@@ -188,7 +196,7 @@
         const auto index = static_cast<BackendIndex>(i);
         const auto &backend = state.backends[i];
         if (!isHeard(state, backend, now) || backend.report.state == BackendState::Gone
-            || contains(flow.tried, index) || contains(flow.mute, index)) {
+            || contains(flow.tried, index) || contains(flow.mute, index) || surelyLacks(backend, key)) {
             continue;
         }
         const int zoneRank = backend.report.zone == state.options.zone ? 0 : 1;
@@ -219,8 +227,26 @@
     return true;
 }
 
+// Whether each agent that was passed over because it lacks the flow has said so after the flow's packet came:
+// the flow was open by then.
+bool lacksAreFresh(const SteeringState &state, const SteeredFlow &flow, const FlowKey &key, TimePoint now)
+{
+    for (std::size_t i = 0; i < state.backends.size(); ++i) {
+        const auto &backend = state.backends[i];
+        const bool passedOver = isHeard(state, backend, now) && backend.report.state != BackendState::Gone
+            && !contains(flow.tried, static_cast<BackendIndex>(i)) && surelyLacks(backend, key);
+        if (passedOver && backend.reported <= flow.sought + transitTime) {
+            return false;
+        }
+    }
+    return true;
+}
+
 Duration undecidedPause(const SteeringState &state, const SteeredFlow &flow)
 {
+    if (flow.undecided == 0) {
+        return state.options.searchPause;
+    }
     const int doublings = flow.undecided > 0 ? flow.undecided - 1 : 0;
     return state.options.undecidedPause * (1 << doublings);
 }
@@ -243,6 +269,9 @@
     flow.offeredSequence = segment.sequence;
     flow.offeredAcknowledgement = segment.acknowledgement;
     flow.offered = now;
+    if (flow.sought == TimePoint{}) {
+        flow.sought = now;
+    }
     if (flow.asked < noteAgents) {
         const auto directories = directoriesOf(state, flowFromCaller(segment), now);
         while (flow.asked < directories.size()) {
@@ -256,8 +285,11 @@
     if (flow.holder != noBackend) {
         return forward(SteeringCause::Searching, flow.holder);
     }
-    const bool allAnswered = flow.mute.empty() && allCouldBeAsked(state, flow, now);
-    flow.undecided = std::min<std::uint8_t>(flow.undecided + 1, maxPauseDoublings);
+    const bool couldBeAsked = flow.mute.empty() && allCouldBeAsked(state, flow, now);
+    const bool allAnswered = couldBeAsked && lacksAreFresh(state, flow, flowFromCaller(segment), now);
+    if (!couldBeAsked) {
+        flow.undecided = std::min<std::uint8_t>(flow.undecided + 1, maxPauseDoublings);
+    }
     flow.exhausted = now;
     flow.asked = 0;
     flow.mute.clear();
@@ -297,6 +329,7 @@
     if (segment.acknowledgement != flow.offeredAcknowledgement) {
         flow.found = true;
         flow.answered = true;
+        flow.sought = {};
         flow.tried.clear();
         return followHolder(flow, segment);
     }
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -49,6 +49,38 @@
     EXPECT_FALSE(decodeReport({buffer.data(), size}, decoded)) << "no such state";
 }
 
+TEST(PeerMessageTest, AReportMayNameAllFlows)
+{
+    FlowKey held;
+    FlowKey other;
+    ASSERT_TRUE(parseEndpoint("203.0.113.7:40001", held.caller));
+    ASSERT_TRUE(parseEndpoint("203.0.113.7:40002", other.caller));
+    Report report{.allFlows = FlowFilter{}};
+    report.allFlows->add(held);
+    const auto size = encodeReport(buffer, report);
+    Report decoded;
+    ASSERT_TRUE(decodeReport({buffer.data(), size}, decoded));
+    EXPECT_EQ(decoded, report);
+    EXPECT_TRUE(decoded.allFlows->mayHold(held));
+    EXPECT_FALSE(decoded.allFlows->mayHold(other));
+    EXPECT_FALSE(decodeReport({buffer.data(), size - 1}, decoded)) << "cut";
+}
+
+TEST(PeerMessageTest, AFilterPassesFewForeignFlows)
+{
+    FlowFilter filter;
+    FlowKey flow;
+    constexpr std::uint16_t held = 50;
+    for (flow.caller.port = 0; flow.caller.port < held; ++flow.caller.port) {
+        filter.add(flow);
+    }
+    int foreign = 0;
+    for (flow.caller.port = 1000; flow.caller.port < 2000; ++flow.caller.port) {
+        foreign += filter.mayHold(flow) ? 1 : 0;
+    }
+    EXPECT_LT(foreign, 50) << "one in twenty";
+}
+
 TEST(PeerMessageTest, ANoteComesBackAsItWas)
 {
     FlowKey flow;
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -352,6 +352,26 @@
     EXPECT_EQ(open().act, GateAct::Deliver);
 }
 
+TEST_F(ServerGateTest, AfterAStartThatTheAgentSawItNamesAllFlows)
+{
+    take(heartbeat(1));
+    const FlowKey none{.caller = endpoint("203.0.113.7:9"), .service = endpoint("198.51.100.1:443")};
+    ASSERT_EQ(admit(state, fromCaller(true, 4000), service, now).act, GateAct::Deliver);
+    const auto report = reportOf(state, 1, now);
+    ASSERT_TRUE(report.allFlows);
+    EXPECT_TRUE(report.allFlows->mayHold(flowFromCaller(fromCaller(true, 4000))))
+        << "a flow is named before its server has answered";
+    EXPECT_FALSE(report.allFlows->mayHold(none));
+    EXPECT_FALSE(reportOf(state, 1, now + state.options.filterTime).allFlows)
+        << "not for ever, for its bytes";
+}
+
+TEST_F(ServerGateTest, ARestartedAgentDoesNotNameAllFlows)
+{
+    beReady();
+    EXPECT_FALSE(reportOf(state, 1, now).allFlows);
+}
+
 TEST_F(ServerGateTest, NotesAreKeptForALimitedTime)
 {
     const auto key = flowFromCaller(fromCaller(true));
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -615,6 +615,53 @@
     EXPECT_LE(taken, 30) << "its own tenth, and what its free slots take";
 }
 
+// The load after a loss of power that has ended all servers too: each agent knows that its server holds
+// nothing.
+class LostServersTest : public SteeringTest
+{
+public:
+    LostServersTest()
+    {
+        know({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+        reportAll();
+    }
+
+    void reportAll()
+    {
+        for (const auto host : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+            report(host, {.state = BackendState::Ready, .slots = 2, .allFlows = filter});
+        }
+    }
+
+    FlowFilter filter;
+};
+
+TEST_F(LostServersTest, TheirFlowsAreResetWithoutAskingThem)
+{
+    const auto first = withoutNotes(1, data(1));
+    EXPECT_EQ(first.act, SteeringAct::Drop) << "the reports may be older than the flow";
+    now += milliseconds(200);
+    reportAll();
+    EXPECT_EQ(withoutNotes(1, data(1)).cause, SteeringCause::NotHeld);
+}
+
+TEST_F(LostServersTest, AReportFromBeforeTheFlowsPacketResetsNothing)
+{
+    withoutNotes(1, data(1));
+    now += milliseconds(200);
+    report("10.0.0.1", {.state = BackendState::Ready, .allFlows = filter});
+    EXPECT_EQ(withoutNotes(1, data(1)).cause, SteeringCause::Undecided);
+}
+
+TEST_F(LostServersTest, AFlowThatAnAgentNamesIsOfferedThere)
+{
+    filter.add(flowFromCaller(packet(1, false)));
+    report("10.0.0.2", {.state = BackendState::Ready, .slots = 2, .allFlows = filter});
+    const auto decision = withoutNotes(1, data(1));
+    EXPECT_EQ(decision.act, SteeringAct::Forward);
+    EXPECT_EQ(decision.backend, indexOf("10.0.0.2"));
+}
+
 // The load after a loss of power: every process has lost its memory while the servers and their flows live
 // on.
 class LostMemoryTest : public SteeringTest
