Reports conclude searches without waiting for the caller's next packet

Cause: a search that stayed undecided went on only with the caller's next repetition, up to 1.6 s later. Ruled out: keeping the packet and offering it again: a late copy could run a request that its caller gave up. Change: flows whose packets were dropped as undecided, or before anything was known, are looked at four times a second and reset as soon as no agent can hold them. TheirCallersNeedNotRepeatAnything: the caller is told 0.2 s after its packet.

--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -69,8 +69,9 @@
 
     std::array<std::uint64_t, words> bits{};
 
-    void add(const FlowKey &flow);
-    bool mayHold(const FlowKey &flow) const;
+    /// Both take the flow's hash, `hashFlow`.
+    void add(std::uint64_t flow);
+    bool mayHold(std::uint64_t flow) const;
 
     bool operator==(const FlowFilter &) const = default;
 };
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -79,6 +79,8 @@
     void sendNotes(const FlowKey &flow, const IpAddress &holder);
     void carryOut(const SteeringDecision &decision, const Segment &segment, std::span<std::uint8_t> bytes);
     void logDecision(const SteeringDecision &decision, const Segment &segment);
+    /// Resets flows that turned out to be held by nobody.
+    void conclude(TimePoint now);
     void greet(BackendIndex index);
     void tick();
     void scheduleTick();
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -33,6 +33,9 @@
     /// again before the third search, so that a flow's packets are not offered to other servers again and
     /// again.
     std::chrono::milliseconds undecidedPause{400};
+    /// Callers that repeat nothing for this long have given up.
+    std::chrono::milliseconds unresolvedTime{3000};
+    std::size_t maxUnresolved = 20'000; ///< A megabyte.
     std::chrono::milliseconds openingLimit{1500}; ///< Callers give up opening a flow after 1.4 s.
     std::chrono::milliseconds defaultIdleLimit{30'000}; ///< Where the configuration names none.
     double zoneMargin = 1.25; ///< Load relative to the best server up to which the own zone is preferred.
@@ -82,6 +85,7 @@
     bool heardCaller = false; ///< `offeredAcknowledgement` is set.
     bool answered = false; ///< The caller has acknowledged an answer of the holder.
     bool noted = false; ///< Notes of the holder were sent.
+    bool unresolved = false; ///< Its key is in `SteeringState::unresolved`.
     std::uint8_t undecided = 0; ///< Searches in a row that stayed undecided.
     std::uint8_t asked = 0; ///< Agents that the search has asked for a note.
     std::uint32_t offeredSequence = 0; ///< Of the packet that the holder was offered.
@@ -138,6 +142,8 @@
     std::vector<Backend> backends;
     std::unordered_map<IpAddress, BackendIndex, AddressHash> byHost;
     std::unordered_map<FlowKey, SteeredFlow> flows;
+    std::vector<FlowKey>
+        unresolved; ///< Flows whose packets were dropped because nobody could say who has them.
     std::uint32_t turn = 0; ///< Varies choices between equals.
 };
 
@@ -194,6 +200,17 @@
 SteeringDecision steerReturned(SteeringState &state, const Segment &segment, BackendIndex from,
                                ReturnReason reason, const IpAddress &holder, TimePoint now);
 
+/// A reset for the caller of a flow that nobody holds.
+struct FlowReset
+{
+    FlowKey flow;
+    std::uint32_t sequence = 0; ///< Within `sequenceWindow` of the caller's last acknowledgement.
+};
+
+/// Resets flows that were undecided when their packets came, and that no agent can hold by what all have
+/// reported since. A caller's next repetition may be more than a second away.
+std::vector<FlowReset> concludeSearches(SteeringState &state, TimePoint now);
+
 /// Forgets flows that were silent for longer than callers and servers keep them.
 void expireFlows(SteeringState &state, TimePoint now);
 
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -21,12 +21,11 @@
 
 // Calls `visit` with the word and the bit of each place of a flow in a filter.
 template<typename Visit>
-void visitPlaces(const FlowKey &flow, Visit visit)
+void visitPlaces(std::uint64_t hash, Visit visit)
 {
     constexpr int places = 3;
     constexpr unsigned bitsPerPlace = 9; // 2^9 bits are in the filter.
     constexpr unsigned bitsPerWord = 6;
-    auto hash = hashFlow(flow);
     for (int i = 0; i < places; ++i) {
         const auto place = hash & ((1U << bitsPerPlace) - 1);
         visit(place >> bitsPerWord, std::uint64_t{1} << (place & ((1U << bitsPerWord) - 1)));
@@ -36,12 +35,12 @@
 
 } // namespace
 
-void FlowFilter::add(const FlowKey &flow)
+void FlowFilter::add(std::uint64_t flow)
 {
     visitPlaces(flow, [this](std::size_t word, std::uint64_t bit) { bits[word] |= bit; });
 }
 
-bool FlowFilter::mayHold(const FlowKey &flow) const
+bool FlowFilter::mayHold(std::uint64_t flow) const
 {
     bool all = true;
     visitPlaces(flow, [&](std::size_t word, std::uint64_t bit) { all = all && (bits[word] & bit) != 0; });
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -365,7 +365,7 @@
     if (state.sawStart && holdsFlows && now - state.startSeen < state.options.filterTime) {
         allFlows.emplace();
         for (const auto &[key, flow] : state.flows) {
-            allFlows->add(key);
+            allFlows->add(hashFlow(key));
         }
     }
     const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(state.coldUntil - now);
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -346,6 +346,19 @@
     m_link.sendCopy({bytes.data(), size}, {backend.host, m_options.agentPort});
 }
 
+void SteeringNode::conclude(TimePoint now)
+{
+    for (const auto &reset : concludeSearches(m_state, now)) {
+        std::array<std::uint8_t, maxResetSize> bytes{};
+        const auto &flow = reset.flow;
+        const auto size = m_options.format.writeReset(bytes, flow.service, flow.caller, reset.sequence);
+        m_link.sendCopy({bytes.data(), size}, {flow.caller.address, m_options.callerPort});
+        m_counters->byCause[static_cast<std::size_t>(SteeringCause::NotHeld)]->Increment();
+        m_log.write(now, "flow_reset", "flow", flowText(flow.caller, flow.service), "cause",
+                    toString(SteeringCause::NotHeld), "version", m_state.table.version, "opening", false);
+    }
+}
+
 void SteeringNode::tick()
 {
     wake();
@@ -365,6 +378,7 @@
             greet(static_cast<BackendIndex>(i));
         }
     }
+    conclude(now);
     m_link.flush();
     if (now - m_lastExpiry > expiryPeriod) {
         m_lastExpiry = now;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -179,9 +179,9 @@
 }
 
 // The agent knows all flows of its server, and this one is not among them.
-bool surelyLacks(const Backend &backend, const FlowKey &key)
+bool surelyLacks(const Backend &backend, std::uint64_t flowHash)
 {
-    return backend.report.allFlows && !backend.report.allFlows->mayHold(key);
+    return backend.report.allFlows && !backend.report.allFlows->mayHold(flowHash);
 }
 
 // Servers of the route's services come first: those that the flow's key ranks highest, then the own zone.
@@ -190,13 +190,14 @@
 {
     const auto ranking = rankServers(
         state, key, [&](BackendIndex, const Backend &backend) { return servesRoute(backend, route); });
+    const auto flowHash = hashFlow(key);
     BackendIndex best = noBackend;
     int bestRank = std::numeric_limits<int>::max();
     for (std::size_t i = 0; i < state.backends.size(); ++i) {
         const auto index = static_cast<BackendIndex>(i);
         const auto &backend = state.backends[i];
         if (!isHeard(state, backend, now) || backend.report.state == BackendState::Gone
-            || contains(flow.tried, index) || contains(flow.mute, index) || surelyLacks(backend, key)) {
+            || contains(flow.tried, index) || contains(flow.mute, index) || surelyLacks(backend, flowHash)) {
             continue;
         }
         const int zoneRank = backend.report.zone == state.options.zone ? 0 : 1;
@@ -210,36 +211,69 @@
     return best;
 }
 
-// An agent that was heard of but cannot be asked now may hold any flow that it has not given back.
-bool allCouldBeAsked(const SteeringState &state, const SteeredFlow &flow, TimePoint now)
+enum class Verdict : std::uint8_t {
+    Lacking, ///< No agent can hold the flow.
+    Awaited, ///< None holds it unless it came after the last reports.
+    Open, ///< An agent may hold it.
+};
+
+// What all agents together have said of a flow. One that was heard of but cannot be asked now may hold any
+// flow that it has not given back.
+Verdict judgeFlow(const SteeringState &state, const SteeredFlow &flow, const FlowKey &key, TimePoint now)
 {
-    if (isCutOff(state, now)) {
-        return false;
+    if (isCutOff(state, now) || !flow.mute.empty()) {
+        return Verdict::Open;
     }
+    const auto flowHash = hashFlow(key);
+    auto verdict = Verdict::Lacking;
     for (std::size_t i = 0; i < state.backends.size(); ++i) {
         const auto &backend = state.backends[i];
-        const auto since = std::max(backend.reported, backend.introduced);
-        const bool isAway = !isHeard(state, backend, now) && now - since < state.options.lostAfter;
-        if (isAway && !contains(flow.tried, static_cast<BackendIndex>(i))) {
-            return false;
+        if (contains(flow.tried, static_cast<BackendIndex>(i))) {
+            continue;
+        }
+        if (!isHeard(state, backend, now)) {
+            const auto since = std::max(backend.reported, backend.introduced);
+            if (now - since < state.options.lostAfter) {
+                return Verdict::Open;
+            }
+            continue;
+        }
+        if (backend.report.state == BackendState::Gone) {
+            continue;
+        }
+        if (!surelyLacks(backend, flowHash)) {
+            return Verdict::Open;
+        }
+        if (backend.reported <= flow.sought + transitTime) {
+            verdict = Verdict::Awaited;
         }
     }
-    return true;
+    return verdict;
 }
 
-// Whether each agent that was passed over because it lacks the flow has said so after the flow's packet came:
-// the flow was open by then.
-bool lacksAreFresh(const SteeringState &state, const SteeredFlow &flow, const FlowKey &key, TimePoint now)
+// Remembers that an answer is owed; the caller's packet is not kept.
+void leaveUnresolved(SteeringState &state, const FlowKey &key, SteeredFlow &flow)
 {
-    for (std::size_t i = 0; i < state.backends.size(); ++i) {
-        const auto &backend = state.backends[i];
-        const bool passedOver = isHeard(state, backend, now) && backend.report.state != BackendState::Gone
-            && !contains(flow.tried, static_cast<BackendIndex>(i)) && surelyLacks(backend, key);
-        if (passedOver && backend.reported <= flow.sought + transitTime) {
-            return false;
-        }
+    if (!flow.unresolved && state.unresolved.size() < state.options.maxUnresolved) {
+        flow.unresolved = true;
+        state.unresolved.push_back(key);
     }
-    return true;
+}
+
+// A packet of an unknown flow that comes before anything is known.
+SteeringDecision awaitKnowledge(SteeringState &state, const FlowKey &key, const Segment &segment,
+                                TimePoint now)
+{
+    const auto [found, isNew] = state.flows.try_emplace(key);
+    auto &flow = found->second;
+    flow.lastPacket = now;
+    flow.found = false;
+    flow.offeredAcknowledgement = segment.acknowledgement;
+    if (isNew) {
+        flow.sought = now;
+    }
+    leaveUnresolved(state, key, flow);
+    return drop(SteeringCause::NotReady);
 }
 
 Duration undecidedPause(const SteeringState &state, const SteeredFlow &flow)
@@ -285,15 +319,18 @@
     if (flow.holder != noBackend) {
         return forward(SteeringCause::Searching, flow.holder);
     }
-    const bool couldBeAsked = flow.mute.empty() && allCouldBeAsked(state, flow, now);
-    const bool allAnswered = couldBeAsked && lacksAreFresh(state, flow, flowFromCaller(segment), now);
-    if (!couldBeAsked) {
-        flow.undecided = std::min<std::uint8_t>(flow.undecided + 1, maxPauseDoublings);
-    }
+    const auto key = flowFromCaller(segment);
+    const auto verdict = judgeFlow(state, flow, key, now);
     flow.exhausted = now;
     flow.asked = 0;
-    flow.mute.clear();
-    return allAnswered ? refuse(SteeringCause::NotHeld) : drop(SteeringCause::Undecided);
+    if (verdict == Verdict::Lacking) {
+        return refuse(SteeringCause::NotHeld);
+    }
+    if (verdict == Verdict::Open) {
+        flow.undecided = std::min<std::uint8_t>(flow.undecided + 1, maxPauseDoublings);
+    }
+    leaveUnresolved(state, key, flow);
+    return drop(SteeringCause::Undecided);
 }
 
 // The server said that it leaves for good, and its agent has ended since.
@@ -583,13 +620,14 @@
 
 SteeringDecision steerCallerPacket(SteeringState &state, const Segment &segment, TimePoint now)
 {
-    if (!state.configured || !state.rosterKnown) {
-        return drop(SteeringCause::NotReady);
-    }
     if (segment.returned || (segment.syn && segment.ack)) {
         return drop(SteeringCause::NotFromCaller);
     }
     const auto key = flowFromCaller(segment);
+    if (!state.configured || !state.rosterKnown) {
+        return segment.opens() || segment.rst ? drop(SteeringCause::NotReady)
+                                              : awaitKnowledge(state, key, segment, now);
+    }
     const auto route = state.table.routes.find(segment.destination);
     if (route == state.table.routes.end()) {
         state.flows.erase(key);
@@ -618,9 +656,12 @@
         return drop(SteeringCause::Undecided);
     }
     if (!isSettled(state, now)) {
-        state.flows.erase(found);
-        return drop(SteeringCause::NotReady);
+        if (isNew) {
+            state.flows.erase(found);
+        }
+        return awaitKnowledge(state, key, segment, now);
     }
+    flow.mute.clear();
     return searchOn(state, route->second, flow, segment, now);
 }
 
@@ -661,11 +702,40 @@
     if (segment.opens()) {
         return placeFlow(state, route->second, key, flow, SteeringCause::Moved, now);
     }
+    if (flow.found) {
+        flow.mute.clear();
+    }
     flow.noted = false;
     flow.answered = false;
     return searchOn(state, route->second, flow, segment, now);
 }
 
+std::vector<FlowReset> concludeSearches(SteeringState &state, TimePoint now)
+{
+    std::vector<FlowReset> resets;
+    if (!state.configured || !state.rosterKnown || !isSettled(state, now)) {
+        return resets;
+    }
+    std::erase_if(state.unresolved, [&](const FlowKey &key) {
+        const auto entry = state.flows.find(key);
+        if (entry == state.flows.end()) {
+            return true;
+        }
+        auto &flow = entry->second;
+        if (flow.found || now - flow.lastPacket > state.options.unresolvedTime) {
+            flow.unresolved = false;
+            return true;
+        }
+        if (flow.holder != noBackend || judgeFlow(state, flow, key, now) != Verdict::Lacking) {
+            return false;
+        }
+        resets.push_back({.flow = key, .sequence = flow.offeredAcknowledgement});
+        state.flows.erase(entry);
+        return true;
+    });
+    return resets;
+}
+
 void expireFlows(SteeringState &state, TimePoint now)
 {
     const auto configured = 2 * state.table.idleLimit;
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -56,13 +56,13 @@
     ASSERT_TRUE(parseEndpoint("203.0.113.7:40001", held.caller));
     ASSERT_TRUE(parseEndpoint("203.0.113.7:40002", other.caller));
     Report report{.allFlows = FlowFilter{}};
-    report.allFlows->add(held);
+    report.allFlows->add(hashFlow(held));
     const auto size = encodeReport(buffer, report);
     Report decoded;
     ASSERT_TRUE(decodeReport({buffer.data(), size}, decoded));
     EXPECT_EQ(decoded, report);
-    EXPECT_TRUE(decoded.allFlows->mayHold(held));
-    EXPECT_FALSE(decoded.allFlows->mayHold(other));
+    EXPECT_TRUE(decoded.allFlows->mayHold(hashFlow(held)));
+    EXPECT_FALSE(decoded.allFlows->mayHold(hashFlow(other)));
     EXPECT_FALSE(decodeReport({buffer.data(), size - 1}, decoded)) << "cut";
 }
 
@@ -72,11 +72,11 @@
     FlowKey flow;
     constexpr std::uint16_t held = 50;
     for (flow.caller.port = 0; flow.caller.port < held; ++flow.caller.port) {
-        filter.add(flow);
+        filter.add(hashFlow(flow));
     }
     int foreign = 0;
     for (flow.caller.port = 1000; flow.caller.port < 2000; ++flow.caller.port) {
-        foreign += filter.mayHold(flow) ? 1 : 0;
+        foreign += filter.mayHold(hashFlow(flow)) ? 1 : 0;
     }
     EXPECT_LT(foreign, 50) << "one in twenty";
 }
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -359,9 +359,9 @@
     ASSERT_EQ(admit(state, fromCaller(true, 4000), service, now).act, GateAct::Deliver);
     const auto report = reportOf(state, 1, now);
     ASSERT_TRUE(report.allFlows);
-    EXPECT_TRUE(report.allFlows->mayHold(flowFromCaller(fromCaller(true, 4000))))
+    EXPECT_TRUE(report.allFlows->mayHold(hashFlow(flowFromCaller(fromCaller(true, 4000)))))
         << "a flow is named before its server has answered";
-    EXPECT_FALSE(report.allFlows->mayHold(none));
+    EXPECT_FALSE(report.allFlows->mayHold(hashFlow(none)));
     EXPECT_FALSE(reportOf(state, 1, now + state.options.filterTime).allFlows)
         << "not for ever, for its bytes";
 }
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -645,6 +645,40 @@
     EXPECT_EQ(withoutNotes(1, data(1)).cause, SteeringCause::NotHeld);
 }
 
+TEST_F(LostServersTest, TheirCallersNeedNotRepeatAnything)
+{
+    withoutNotes(1, data(1));
+    EXPECT_TRUE(concludeSearches(state, now).empty());
+    now += milliseconds(200);
+    reportAll();
+    const auto resets = concludeSearches(state, now);
+    ASSERT_EQ(resets.size(), 1U);
+    EXPECT_EQ(resets[0].flow, flowFromCaller(packet(1, false)));
+    EXPECT_EQ(resets[0].sequence, packet(1, false).acknowledgement);
+    EXPECT_TRUE(concludeSearches(state, now).empty()) << "once";
+}
+
+TEST_F(LostServersTest, APacketThatCameBeforeAnythingWasKnownIsAnsweredLater)
+{
+    state.rosterKnown = false;
+    EXPECT_EQ(data(1).cause, SteeringCause::NotReady);
+    EXPECT_TRUE(concludeSearches(state, now).empty());
+    state.rosterKnown = true;
+    now += milliseconds(300);
+    reportAll();
+    EXPECT_EQ(concludeSearches(state, now).size(), 1U);
+}
+
+TEST_F(LostServersTest, AFlowThatAnAgentMayHoldIsNotConcluded)
+{
+    withoutNotes(1, data(1));
+    now += milliseconds(200);
+    filter.add(hashFlow(flowFromCaller(packet(1, false))));
+    reportAll();
+    EXPECT_TRUE(concludeSearches(state, now).empty());
+    EXPECT_EQ(withoutNotes(1, data(1)).act, SteeringAct::Forward);
+}
+
 TEST_F(LostServersTest, AReportFromBeforeTheFlowsPacketResetsNothing)
 {
     withoutNotes(1, data(1));
@@ -655,7 +689,7 @@
 
 TEST_F(LostServersTest, AFlowThatAnAgentNamesIsOfferedThere)
 {
-    filter.add(flowFromCaller(packet(1, false)));
+    filter.add(hashFlow(flowFromCaller(packet(1, false))));
     report("10.0.0.2", {.state = BackendState::Ready, .slots = 2, .allFlows = filter});
     const auto decision = withoutNotes(1, data(1));
     EXPECT_EQ(decision.act, SteeringAct::Forward);
