An agent finds out that no server is beside it

Cause: an agent that started without hearing a server passed packets of unknown flows on for 3 s, into nothing. Ruled out: a shorter wait for the first heartbeat: a server that leaves may be silent for long and hold flows. Change: payload that such a server does not answer for 0.4 s is a reason to try a connection; refused means that there is none. WhereNoServerIsTheAgentFindsOut.

--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -149,8 +149,13 @@
         if (state.lost.contains(key)) {
             return giveBack(ReturnReason::Ended);
         }
-        return knowsAllFlows(state, now) ? giveBack(ReturnReason::NotHeld)
-                                         : GateDecision{.act = GateAct::Deliver};
+        if (knowsAllFlows(state, now)) {
+            return giveBack(ReturnReason::NotHeld);
+        }
+        if (segment.payloadSize > 0) {
+            noteSince(state.unansweredPayload, now);
+        }
+        return {.act = GateAct::Deliver};
     }
     auto &flow = found->second;
     if (flow.halfOpen && segment.ack && !acknowledgesOpening(flow, segment)) {
@@ -287,7 +292,7 @@
 
 bool isSuspect(const GateState &state, TimePoint now)
 {
-    if (state.server != BackendState::Ready && state.server != BackendState::Draining) {
+    if (state.server == BackendState::Gone || state.server == BackendState::Silent) {
         return false;
     }
     const auto &options = state.options;
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -343,6 +343,24 @@
     EXPECT_EQ(state.server, BackendState::Ready);
 }
 
+TEST_F(ServerGateTest, WhereNoServerIsTheAgentFindsOut)
+{
+    EXPECT_FALSE(isSuspect(state, now)) << "nothing was sent to it";
+    EXPECT_EQ(admit(state, fromCaller(false), service, now).act, GateAct::Deliver) << "it may hold the flow";
+    now += state.options.requestLimit + milliseconds(1);
+    EXPECT_TRUE(isSuspect(state, now));
+    noteProbe(state, false);
+    EXPECT_EQ(admit(state, fromCaller(false), service, now).reason, ReturnReason::NotHeld);
+}
+
+TEST_F(ServerGateTest, AServerThatGivesPacketsBackIsNotSuspect)
+{
+    admit(state, fromCaller(false), service, now);
+    noteBounce(state, fromCaller(false));
+    now += state.options.requestLimit + milliseconds(1);
+    EXPECT_FALSE(isSuspect(state, now));
+}
+
 TEST_F(ServerGateTest, AServerThatRefusesAConnectionTakesNoFlowsUntilItIsHeard)
 {
     beReady();
