Servers that left hold no search up

Cause: an agent that said its server had left for good counted as away for 1.5 s when the platform ended it; in a release one after the other there always was one. Change: a server that left holds nothing. AServerThatLeftHoldsNoSearchUp.

--- a/src/steering.cc
+++ b/src/steering.cc
@@ -228,7 +228,9 @@
     auto verdict = Verdict::Lacking;
     for (std::size_t i = 0; i < state.backends.size(); ++i) {
         const auto &backend = state.backends[i];
-        if (contains(flow.tried, static_cast<BackendIndex>(i))) {
+        // A server that left for good holds nothing, also while its agent is being taken away.
+        if (backend.report.state == BackendState::Gone
+            || contains(flow.tried, static_cast<BackendIndex>(i))) {
             continue;
         }
         if (!isHeard(state, backend, now)) {
@@ -238,9 +240,6 @@
             }
             continue;
         }
-        if (backend.report.state == BackendState::Gone) {
-            continue;
-        }
         if (!surelyLacks(backend, flowHash)) {
             return Verdict::Open;
         }
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -319,6 +319,15 @@
     EXPECT_EQ(decision.cause, SteeringCause::NotHeld);
 }
 
+TEST_F(SteeringTest, AServerThatLeftHoldsNoSearchUp)
+{
+    threeReady();
+    report("10.0.0.3", {.state = BackendState::Gone});
+    state.backends[indexOf("10.0.0.3")].reported -= state.options.silentAfter;
+    const auto [offered, decision] = searchAll(1, data(1));
+    EXPECT_EQ(decision.cause, SteeringCause::NotHeld);
+}
+
 TEST_F(SteeringTest, ASearchEndsAtTheServerThatKeepsThePacket)
 {
     threeReady();
