Undecided searches tell what keeps them undecided

Change: a line search_undecided with the agents that are mute, away, not asked yet, or lack the flow by an old report.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -123,6 +123,17 @@
 constexpr std::size_t steeringCauseCount = static_cast<std::size_t>(SteeringCause::NotFromCaller) + 1;
 std::string_view toString(SteeringCause cause);
 
+/// What keeps a flow of which nothing is known from being reset, in agents.
+struct SearchObstacles
+{
+    std::uint16_t mute = 0; ///< Neither kept nor gave back its packet.
+    std::uint16_t away = 0; ///< Cannot be asked, but may be back soon.
+    std::uint16_t open = 0; ///< May hold it and were not asked yet.
+    std::uint16_t awaited = 0; ///< Lack it, by reports that may be older than the flow.
+
+    bool operator==(const SearchObstacles &) const = default;
+};
+
 struct SteeringDecision
 {
     SteeringAct act = SteeringAct::Drop;
@@ -130,6 +141,7 @@
     BackendIndex backend = noBackend; ///< Of `Forward` and `Ask`.
     bool note = false; ///< The agents of `directoriesOf` are to note that `backend` holds the flow.
     ServiceId service; ///< Service meant by an opening packet.
+    SearchObstacles obstacles; ///< Of a packet that is dropped as `Undecided` after a search.
 };
 
 struct SteeringState
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -251,6 +251,12 @@
 {
     const auto flow = flowText(segment.source, segment.destination);
     const auto cause = toString(decision.cause);
+    if (decision.obstacles != SearchObstacles{}) {
+        const auto &obstacles = decision.obstacles;
+        m_log.write(m_now, "search_undecided", "flow", flow, "mute", obstacles.mute, "away", obstacles.away,
+                    "open", obstacles.open, "awaited", obstacles.awaited);
+        return;
+    }
     if (decision.act == SteeringAct::Reset || decision.act == SteeringAct::Drop) {
         m_log.write(m_now, decision.act == SteeringAct::Reset ? "flow_reset" : "packet_dropped", "flow", flow,
                     "cause", cause, "version", m_state.table.version, "opening", segment.opens());
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -211,43 +211,37 @@
     return best;
 }
 
-enum class Verdict : std::uint8_t {
-    Lacking, ///< No agent can hold the flow.
-    Awaited, ///< None holds it unless it came after the last reports.
-    Open, ///< An agent may hold it.
-};
-
-// What all agents together have said of a flow. One that was heard of but cannot be asked now may hold any
-// flow that it has not given back.
-Verdict judgeFlow(const SteeringState &state, const SteeredFlow &flow, const FlowKey &key, TimePoint now)
+// What all agents together have said of a flow; without obstacles none of them can hold it. An agent that was
+// heard of but cannot be asked now may hold any flow that it has not given back.
+SearchObstacles obstaclesOf(const SteeringState &state, const SteeredFlow &flow, const FlowKey &key,
+                            TimePoint now)
 {
-    if (isCutOff(state, now) || !flow.mute.empty()) {
-        return Verdict::Open;
-    }
+    SearchObstacles obstacles{.mute = static_cast<std::uint16_t>(flow.mute.size())};
     const auto flowHash = hashFlow(key);
-    auto verdict = Verdict::Lacking;
     for (std::size_t i = 0; i < state.backends.size(); ++i) {
         const auto &backend = state.backends[i];
+        const auto index = static_cast<BackendIndex>(i);
         // A server that left for good holds nothing, also while its agent is being taken away.
-        if (backend.report.state == BackendState::Gone
-            || contains(flow.tried, static_cast<BackendIndex>(i))) {
+        if (backend.report.state == BackendState::Gone || contains(flow.tried, index)
+            || contains(flow.mute, index)) {
             continue;
         }
         if (!isHeard(state, backend, now)) {
             const auto since = std::max(backend.reported, backend.introduced);
-            if (now - since < state.options.lostAfter) {
-                return Verdict::Open;
-            }
-            continue;
-        }
-        if (!surelyLacks(backend, flowHash)) {
-            return Verdict::Open;
-        }
-        if (backend.reported <= flow.sought + transitTime) {
-            verdict = Verdict::Awaited;
+            obstacles.away += now - since < state.options.lostAfter ? 1 : 0;
+        } else if (!surelyLacks(backend, flowHash)) {
+            ++obstacles.open;
+        } else if (backend.reported <= flow.sought + transitTime) {
+            ++obstacles.awaited;
         }
     }
-    return verdict;
+    return obstacles;
+}
+
+// Whether the flow can be reset.
+bool isLacking(const SteeringState &state, const SearchObstacles &obstacles, TimePoint now)
+{
+    return obstacles == SearchObstacles{} && !isCutOff(state, now);
 }
 
 // Remembers that an answer is owed; the caller's packet is not kept.
@@ -319,17 +313,18 @@
         return forward(SteeringCause::Searching, flow.holder);
     }
     const auto key = flowFromCaller(segment);
-    const auto verdict = judgeFlow(state, flow, key, now);
+    const auto obstacles = obstaclesOf(state, flow, key, now);
     flow.exhausted = now;
     flow.asked = 0;
-    if (verdict == Verdict::Lacking) {
+    if (isLacking(state, obstacles, now)) {
         return refuse(SteeringCause::NotHeld);
     }
-    if (verdict == Verdict::Open) {
+    const bool onlyAwaited = obstacles == SearchObstacles{.awaited = obstacles.awaited};
+    if (!onlyAwaited) {
         flow.undecided = std::min<std::uint8_t>(flow.undecided + 1, maxPauseDoublings);
     }
     leaveUnresolved(state, key, flow);
-    return drop(SteeringCause::Undecided);
+    return {.act = SteeringAct::Drop, .cause = SteeringCause::Undecided, .obstacles = obstacles};
 }
 
 // The server said that it leaves for good, and its agent has ended since.
@@ -725,7 +720,7 @@
             flow.unresolved = false;
             return true;
         }
-        if (flow.holder != noBackend || judgeFlow(state, flow, key, now) != Verdict::Lacking) {
+        if (flow.holder != noBackend || !isLacking(state, obstaclesOf(state, flow, key, now), now)) {
             return false;
         }
         resets.push_back({.flow = key, .sequence = flow.offeredAcknowledgement});
