Late answers of a search count, and entries of gone hosts delay less

An agent that answered later than 0.15 s stayed mute for the search although it had answered; agents that were never heard counted as away for 1.5 s. Change: an answer ends muteness; an agent that was never heard is away for 1 s. ALateAnswerCounts failed before.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -28,6 +28,9 @@
     /// A silent agent no longer keeps an unknown flow from being reset, and a balancer that hears none is cut
     /// off: twice the 0.65 s of a planned restart.
     std::chrono::milliseconds lostAfter{1500};
+    /// The same for an agent that was never heard: hosts that are gone leave their entries. A planned restart
+    /// takes 0.65 s, and an agent that runs answers a hello within 0.25 s.
+    std::chrono::milliseconds neverHeardAfter{1000};
     std::chrono::milliseconds searchPause{150}; ///< Shorter than a caller's first retransmission, 200 ms.
     /// After a search that stayed undecided; doubles with each. An agent that the platform restarts is heard
     /// again before the third search, so that a flow's packets are not offered to other servers again and
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -227,8 +227,10 @@
             continue;
         }
         if (!isHeard(state, backend, now)) {
+            const bool wasHeard = backend.reported != TimePoint{};
             const auto since = std::max(backend.reported, backend.introduced);
-            obstacles.away += now - since < state.options.lostAfter ? 1 : 0;
+            const auto limit = wasHeard ? state.options.lostAfter : state.options.neverHeardAfter;
+            obstacles.away += now - since < limit ? 1 : 0;
         } else if (!surelyLacks(backend, flowHash)) {
             ++obstacles.open;
         } else if (backend.reported <= flow.sought + transitTime) {
@@ -687,6 +689,7 @@
     if (!contains(flow.tried, from)) {
         flow.tried.push_back(from);
     }
+    std::erase(flow.mute, from);
     if (flow.asking) {
         return segment.opens() ? drop(SteeringCause::Moved) : ask(flow, flow.holder);
     }
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -319,6 +319,18 @@
     EXPECT_EQ(decision.cause, SteeringCause::NotHeld);
 }
 
+TEST_F(SteeringTest, ALateAnswerCounts)
+{
+    threeReady();
+    const auto late = withoutNotes(1, data(1)).backend;
+    now += state.options.searchPause;
+    auto decision = withoutNotes(1, data(1));
+    giveBack(1, false, late, ReturnReason::NotHeld);
+    const auto [offered, last] = searchAll(1, decision);
+    EXPECT_EQ(offered.size(), 2U);
+    EXPECT_EQ(last.cause, SteeringCause::NotHeld);
+}
+
 TEST_F(SteeringTest, AServerThatLeftHoldsNoSearchUp)
 {
     threeReady();
