--- a/lab/soak-router.cc
+++ b/lab/soak-router.cc
@@ -13,8 +13,7 @@
 } // namespace
 
 SoakRouter::SoakRouter(asio::io_context &context, std::vector<RoutedBalancer> balancers)
-    : m_context(context)
-    , m_timer(context)
+    : m_timer(context)
 {
     for (auto &balancer : balancers) {
         auto client = std::make_unique<HttpClient>(context, HttpClientOptions{.server = balancer.health});
--- a/lab/soak-router.h
+++ b/lab/soak-router.h
@@ -46,7 +46,6 @@
 
     void check();
 
-    asio::io_context &m_context;
     asio::steady_timer m_timer;
     std::vector<Member> m_members;
 };
--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -306,7 +306,7 @@
             entry.coldRates.emplace_back(service, ServerTimes{}.coldPerSecond);
         }
         if (m_options.plant != SoakPlant::HideConfiguration || m_phase == Phase::Starting) {
-            m_store->put("config", "main", configurationDocument(entry));
+            m_store->configure(entry);
         }
         m_ledger.configured(m_version, routes, now);
     }
@@ -718,11 +718,11 @@
             const std::string zone = zones[fault.target % zones.size()];
             constexpr milliseconds evacuation{8000}; ///< Longer than the time in which it must be in force.
             if (m_options.plant != SoakPlant::HideEvacuation) {
-                m_store->put("evacuations", zone, nlohmann::json::object());
+                m_store->evacuate(zone);
             }
             m_ledger.evacuated(zone, now);
             endAt(until + evacuation, [this, zone] {
-                m_store->erase("evacuations", zone);
+                m_store->takeBack(zone);
                 m_ledger.takenBack(zone, steadyNow());
             });
             return;
