A search after a bounce asks those that refused the opening; no agent known means cut off

Cause: found by reading. An agent that had refused a flow's opening packet counted as one that surely lacks the flow, although a copy of that packet may have opened it there by another balancer; and a balancer with an empty list of agents would have reset flows. Change: a search that begins at a bounce forgets earlier refusals; a balancer that knows no agent is cut off. Measured: ABalancerThatKnowsNoAgentResetsNoOpenFlow and AServerThatRefusedAnOpeningIsStillAsked failed before.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -171,8 +171,8 @@
 /// Whether each agent has reported or had time for a first report; callers repeat their packets meanwhile.
 bool isSettled(const SteeringState &state, TimePoint now);
 
-/// Whether no agent has been heard for longer than all of them need to restart. Such a balancer can serve
-/// nobody, and cannot tell whether a flow's server lives.
+/// Whether no agent is known, or none has been heard for longer than all of them need to restart. Such a
+/// balancer can serve nobody, and cannot tell whether a flow's server lives.
 bool isCutOff(const SteeringState &state, TimePoint now);
 
 /// The process did not run for a while: agents have reported meanwhile, and are heard as soon as it reads on.
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -276,8 +276,7 @@
     if (flow.undecided == 0) {
         return state.options.searchPause;
     }
-    const int doublings = flow.undecided > 0 ? flow.undecided - 1 : 0;
-    return state.options.undecidedPause * (1 << doublings);
+    return state.options.undecidedPause * (1 << (flow.undecided - 1));
 }
 
 SteeringDecision ask(SteeredFlow &flow, BackendIndex agent)
@@ -470,10 +469,9 @@
 
 bool isCutOff(const SteeringState &state, TimePoint now)
 {
-    return !state.backends.empty()
-        && std::all_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
-               return now - std::max(backend.reported, backend.introduced) > state.options.lostAfter;
-           });
+    return std::all_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
+        return now - std::max(backend.reported, backend.introduced) > state.options.lostAfter;
+    });
 }
 
 void noteStandstill(SteeringState &state, TimePoint now)
@@ -700,6 +698,8 @@
         return placeFlow(state, route->second, key, flow, SteeringCause::Moved, now);
     }
     if (flow.found) {
+        // Servers that refused its opening packet may have taken a copy by another balancer since.
+        flow.tried = {from};
         flow.mute.clear();
     }
     flow.noted = false;
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -270,6 +270,26 @@
     EXPECT_FALSE(isCutOff(state, now));
 }
 
+TEST_F(SteeringTest, ABalancerThatKnowsNoAgentResetsNoOpenFlow)
+{
+    know({});
+    EXPECT_TRUE(isCutOff(state, now));
+    EXPECT_EQ(data(3).cause, SteeringCause::Undecided);
+    EXPECT_TRUE(concludeSearches(state, now + std::chrono::seconds(1)).empty());
+}
+
+TEST_F(SteeringTest, AServerThatRefusedAnOpeningIsStillAsked)
+{
+    threeReady();
+    const auto refusing = open(1).backend;
+    const auto holder = giveBack(1, true, refusing, ReturnReason::Full).backend;
+    data(1);
+    answered(1);
+    const auto [offered, decision]
+        = searchAll(1, withoutNotes(1, giveBack(1, false, holder, ReturnReason::NotHeld)));
+    EXPECT_TRUE(offered.contains(refusing)) << "it may have taken a copy by another balancer";
+}
+
 TEST_F(SteeringTest, AfterAStandstillAgentsAreHeardBeforeAnythingIsRefused)
 {
     threeReady();
