Three failed requests are played and found in the logs; explain names undecided searches

Cause: no test showed that the logs of a played failure lead to its planted cause. Change: gate-path-test keeps what all processes write and asks explain: refused by full servers, reset after a new start, no answer from a server that is gone. explain knows search_undecided.

--- a/src/explain.cc
+++ b/src/explain.cc
@@ -134,6 +134,12 @@
         } else if (event.event == "packet_dropped" && !ended) {
             story.outcome = codeText(Code::OutcomeUnknown);
             story.cause = fmt::format("{} dropped a packet: {}", event.node, text(event.fields, "cause"));
+        } else if (event.event == "search_undecided" && !ended) {
+            story.outcome = codeText(Code::OutcomeUnknown);
+            story.cause
+                = fmt::format("{} could not tell which server has the flow: {} agents gave nothing back, "
+                              "{} were away",
+                              event.node, text(event.fields, "mute"), text(event.fields, "away"));
         } else if (event.event == "server_state" && !ended) {
             concludeState(story, event);
         } else if (event.event == "server_suspect" && !ended) {
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -55,6 +55,17 @@
     EXPECT_EQ(story.cause, "front-2 refused the flow: no server of the service took it (configuration 9)");
 }
 
+TEST(ExplainTest, AFlowThatNobodyFoundIsTracedToTheAgentsThatWereAway)
+{
+    const auto story = explain(
+        read(
+            R"({"at":5,"node":"front-2","event":"search_undecided","flow":"100.64.0.9:7>198.18.0.2:80","mute":1,"away":3,"open":0,"awaited":0})"),
+        {.flow = "100.64.0.9:7"});
+    EXPECT_EQ(story.outcome, "402 outcome-unknown");
+    EXPECT_EQ(story.cause,
+              "front-2 could not tell which server has the flow: 1 agents gave nothing back, 3 were away");
+}
+
 TEST(ExplainTest, AQuietFlowIsTracedToItsSilentServer)
 {
     const auto story = explain(
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -1,11 +1,14 @@
 // The whole packet path over loopback: callers, a balancer, agents, and backend servers that judge their own
 // flows.
+#include <algorithm>
 #include <set>
+#include <sstream>
 
 #include <gtest/gtest.h>
 
 #include "event-loop.h"
 #include "oriolelever/bytes.h"
+#include "oriolelever/explain.h"
 #include "oriolelever/gate-node.h"
 #include "oriolelever/steering-node.h"
 #include "wire-packet.h"
@@ -104,17 +107,30 @@
     Endpoint m_outbound;
 };
 
+// What all processes have written, as a collector would keep it.
+std::size_t collect(std::string &lines, const char *bytes, std::size_t size)
+{
+    lines.append(bytes, size);
+    return size;
+}
+
+std::int64_t timeOfDay()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 struct StandInHost
 {
     StandInHost(asio::io_context &context, const std::string &address, std::uint16_t dataPort,
-                std::uint16_t linkPort, std::uint64_t lifetime)
+                std::uint16_t linkPort, std::uint64_t lifetime, std::string &logs)
         : host(endpoint(address, dataPort))
         , outbound(endpoint(address, freePort()))
         , app(endpoint(address, freePort()))
         , server(std::make_unique<StandInServer>(context, app, outbound))
         , log(
-              {.node = address}, [](const char *, std::size_t size) { return size; },
-              [] { return std::int64_t{0}; })
+              {.node = address},
+              [&logs](const char *bytes, std::size_t size) { return collect(logs, bytes, size); }, timeOfDay)
     {
         startAgent(context, linkPort, lifetime);
     }
@@ -164,8 +180,8 @@
     GatePathTest()
         : callers(context)
         , log(
-              {.node = "front"}, [](const char *, std::size_t size) { return size; },
-              [] { return std::int64_t{0}; })
+              {.node = "front"},
+              [this](const char *bytes, std::size_t size) { return collect(logs, bytes, size); }, timeOfDay)
     {
         startBalancer();
         handleError(
@@ -179,7 +195,7 @@
             [](const Error &error) { ADD_FAILURE() << error.text; });
         for (const char *address : {"127.0.0.3", "127.0.0.4"}) {
             hosts.push_back(
-                std::make_unique<StandInHost>(context, address, dataPort, linkPort, hosts.size() + 1));
+                std::make_unique<StandInHost>(context, address, dataPort, linkPort, hosts.size() + 1, logs));
             hosts.back()->beat(5);
         }
         learnAgents();
@@ -261,6 +277,23 @@
     const std::uint16_t dataPort = freePort();
     const std::uint16_t linkPort = freePort();
     const Endpoint service = endpoint("198.18.0.1", 443);
+
+    // What an operator asks with nothing but the logs.
+    Story storyOf(std::uint16_t port)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        log.flush(now);
+        for (const auto &host : hosts) {
+            host->log.flush(now);
+        }
+        LogReading reading;
+        std::istringstream lines(logs);
+        readLog(lines, reading);
+        EXPECT_EQ(reading.unreadable, 0U);
+        return explain(reading, {.flow = "127.0.0.9:" + std::to_string(port)});
+    }
+
+    std::string logs;
     std::uint64_t lifetime = 0;
     std::vector<Segment> received;
     PacketPort callers;
@@ -384,6 +417,55 @@
     EXPECT_EQ(received.back().destination.port, 4001);
 }
 
+TEST_F(GatePathTest, TheLogsTellWhyAFlowWasRefused)
+{
+    hosts[0]->server->full = true;
+    hosts[1]->server->full = true;
+    send(4001, synFlag, 0, 0);
+    EXPECT_TRUE(nextAnswer().rst);
+    const auto story = storyOf(4001);
+    EXPECT_EQ(story.outcome, "401 refused-not-run");
+    EXPECT_NE(story.cause.find("no server of the service took it"), std::string::npos) << story.cause;
+    const auto full = std::count_if(story.events.begin(), story.events.end(), [](const LogEvent &event) {
+        return event.event == "packet_bounced" && event.fields["reason"] == "full";
+    });
+    EXPECT_EQ(full, 2) << "the planted cause: both servers were full";
+}
+
+TEST_F(GatePathTest, TheLogsTellWhyAFlowWasResetInMidWork)
+{
+    openFlow(4001);
+    request(4001);
+    auto &host = holderOf(4001);
+    host.server->flows.clear();
+    const auto seen = received.size();
+    host.beat(1, 2000);
+    runUntil(context, [&] { return received.size() > seen; });
+    EXPECT_TRUE(request(4001).rst);
+    const auto story = storyOf(4001);
+    EXPECT_EQ(story.outcome, "402 outcome-unknown");
+    const bool namesStart = std::any_of(story.events.begin(), story.events.end(), [](const LogEvent &event) {
+        return event.event == "server_heartbeat" && event.fields["outcome"] == "new_start"
+            && event.fields["born_at"] == 2000;
+    });
+    EXPECT_TRUE(namesStart) << "the planted cause: the server started anew";
+}
+
+TEST_F(GatePathTest, TheLogsTellWhyAnAnswerIsMissing)
+{
+    openFlow(4001);
+    request(4001);
+    auto &host = holderOf(4001);
+    host.server.reset();
+    send(4001, ackFlag, 501, 60);
+    runUntil(context, [&] { return host.agent->state().server == BackendState::Silent; });
+    const auto story = storyOf(4001);
+    const bool namesServer = std::any_of(story.events.begin(), story.events.end(), [](const LogEvent &event) {
+        return event.event == "server_probed" && event.fields["refused"] == true;
+    });
+    EXPECT_TRUE(namesServer) << "the planted cause: nothing listens where the server was";
+}
+
 TEST_F(GatePathTest, HostileDatagramsChangeNothing)
 {
     const std::vector<std::uint8_t> noise{1, 2, 3};
