A flow that may be open at another server is not reset when its own ends

When the server at agent-9 ended, its agent reset all flows that it knew, also those that no caller had acknowledged. Ruled out: sequence numbers: a reset of a half open flow carries 0, which callers may accept. Change: only flows whose caller has acknowledged this server are reset; others are answered as not held.

--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -777,6 +777,7 @@
     void stopAll(TimePoint now)
     {
         for (const auto &node : m_nodes) {
+            m_ledger.disturbPlanned(node->name, now, now + grace);
             node->wanted = false;
             node->startAt = {};
             if (node->process.isRunning()) {
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -239,7 +239,8 @@
 {
     std::vector<CallerReset> resets;
     for (const auto &[key, flow] : state.flows) {
-        if (!flow.ended) {
+        // A caller that has not acknowledged this server's answer may have opened the flow at another one.
+        if (!flow.ended && !flow.halfOpen && !flow.opening) {
             resets.push_back({.flow = key, .sequence = flow.lastAcknowledgement});
             state.lost[key] = now;
         }
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -184,6 +184,25 @@
     EXPECT_EQ(data().act, GateAct::Deliver);
 }
 
+// Seed 707 of the soak: copies of an opening packet had reached two servers.
+TEST_F(ServerGateTest, AFlowThatMayBeOpenAtAnotherServerIsNotReset)
+{
+    beReady();
+    const auto opening = fromCaller(true, 4000);
+    admit(state, opening, service, now);
+    noteServerPacket(state,
+                     {.source = opening.destination,
+                      .destination = opening.source,
+                      .syn = true,
+                      .ack = true,
+                      .sequence = 500},
+                     now);
+    admit(state, fromCaller(true, 4001), service, now);
+    EXPECT_TRUE(endAllFlows(state, now).empty());
+    EXPECT_NE(admit(state, fromCaller(false, 4000), service, now).reason, ReturnReason::Ended)
+        << "the other server may have it";
+}
+
 TEST_F(ServerGateTest, OnlyThePacketThatAcknowledgesTheServerOpensTheFlow)
 {
     beReady();
