Reports as often as needed, flows named on request, servers that reset requests ejected

Ruled out: fewer reports within the zone (placing lives on them); a filter in every report (only a search reads it). Change: (1) a Hello states the period of reports and asks for the flows. Other zones' agents report each second while the own zone has four servers of the service that are not loaded, and no flow is searched; a search asks all agents for their flows at once, and what reports decide is looked at after each batch, no longer every 250 ms. (2) An agent whose server resets three requests without an answer in between passes openings on for 1 s, doubled up to 8 s, then tries one request; balancers leave it out unless most servers of the service fail. Header version 2: balancers and agents are updated together.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -29,7 +29,7 @@
     PacketFormat format;
     GateOptions gate;
     std::chrono::milliseconds tickPeriod{100}; ///< Of the check for timeouts and due reports.
-    std::chrono::milliseconds reportPeriod{200};
+    std::chrono::milliseconds reportPeriod{200}; ///< To a balancer whose Hello has not come yet.
     std::chrono::milliseconds balancerTimeout{
         10'000}; ///< Without a Hello, after which reports to a balancer end.
     std::chrono::milliseconds probeTimeout{250}; ///< Of the connection that probes a suspect server.
@@ -91,6 +91,10 @@
     void resetAllFlows(std::string_view cause);
     /// Sends the current report to all known balancers.
     void sendReports();
+    /// Sends the current report to the balancers whose period has passed.
+    void sendDueReports(TimePoint now);
+    /// Reports at once if the server has begun or ceased to fail.
+    void reportFailing(TimePoint now);
     void tick();
     void scheduleTick();
     /// Opens a connection to the server, unless a probe is running or was started within `probeInterval`.
@@ -101,6 +105,8 @@
     {
         std::uint64_t lifetime = 0; ///< Of its last Hello; 0 before the first.
         TimePoint lastHelloAt{}; ///< When its last Hello arrived, or when it was added.
+        TimePoint lastReportAt{}; ///< When a report was sent to it last.
+        std::chrono::milliseconds reportPeriod{0}; ///< As its last Hello stated.
     };
 
     asio::io_context &m_context;
@@ -114,7 +120,7 @@
     std::unique_ptr<Probe> m_probe;
     std::unordered_map<IpAddress, Balancer, AddressHash> m_balancers;
     TimePoint m_now{}; ///< Time of the current datagram batch; unset between batches.
-    TimePoint m_lastReport{};
+    bool m_wasFailing = false; ///< As the last reports to all balancers stated.
     TimePoint m_lastProbe{};
     std::uint64_t m_loggedLostDatagrams = 0; ///< Lost datagrams that the log has stated.
     TimePoint m_lastExpiry{};
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -63,6 +63,9 @@
     /// Flows that are idle for longer may be forgotten; 0 if unknown.
     std::chrono::milliseconds idleLimit{0};
     bool unlisted = false; ///< The agent has no entry in the platform's store.
+    /// The agent answers at once with a report that names all flows of its server.
+    bool wantsFlows = false;
+    std::chrono::milliseconds reportPeriod{200}; ///< Between two reports to this balancer.
 
     bool operator==(const Hello &) const = default;
 };
@@ -95,8 +98,9 @@
     std::uint32_t waiting = 0; ///< Flows with a request that the server has not answered yet.
     std::chrono::milliseconds coldLeft{0}; ///< Time until the server is warm; 0 if it is.
     std::uint64_t bornAt = 0; ///< When the server started, Unix time in milliseconds; 0 if unknown.
-    /// All flows of the server; absent if the agent does not know all of them, or the server started long
-    /// ago.
+    bool isFailing = false; ///< The server resets flows instead of answering their requests.
+    /// All flows of the server; only in answers to a Hello that asks for them, and absent if the agent does
+    /// not know all of them.
     std::optional<FlowFilter> heldFlowFilter;
 
     bool operator==(const Report &) const = default;
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -54,9 +54,6 @@
     /// For notes and for flows that were lost at a restart; longer than the 60 s for which flows are
     /// preserved.
     std::chrono::milliseconds noteRetention{75000};
-    /// Time after a server's start for which reports carry the filter of its flows: as long as flows are
-    /// preserved.
-    std::chrono::milliseconds flowFilterDuration{60'000};
     std::size_t maxNotes = 20000; ///< Bounds the notes to two megabytes.
     std::chrono::milliseconds heartbeatTimeout{3000}; ///< Two and a half heartbeat periods of 1.2 s.
     std::chrono::milliseconds defaultIdleTimeout{15'000}; ///< Used until a balancer states the timeout.
@@ -68,6 +65,12 @@
     /// was not recognized.
     std::chrono::milliseconds maxRequestTime{10'000};
     OpeningQueueOptions openingQueue;
+    /// Flows that the server resets instead of answering their requests, without an answer in between, before
+    /// it is failing.
+    std::uint32_t maxConsecutiveResets = 3;
+    /// How long a failing server gets no new flows; doubles up to `maxEjection` while it goes on failing.
+    std::chrono::milliseconds firstEjection{1000};
+    std::chrono::milliseconds maxEjection{8000};
 };
 
 /// A flow of the server.
@@ -120,6 +123,9 @@
     std::uint32_t expectedRequests = 0; ///< Flows with `firstRequestExpected`.
     /// Flows that were opened within `firstRequestTimeout`, and when; may name flows that are gone.
     std::deque<std::pair<TimePoint, FlowKey>> openedFlows;
+    std::uint32_t consecutiveResets = 0; ///< Requests that ended in a reset since the server's last answer.
+    std::uint32_t ejections = 0; ///< Since the server's last answer.
+    TimePoint ejectedUntil{}; ///< End of the last ejection.
     OpeningQueue openingQueue; ///< Opening packets that wait until the server is no longer busy.
     TimePoint unansweredOpeningSince{}; ///< First opening packet since the server's last packet; else unset.
     TimePoint unansweredPayloadSince{}; ///< First payload since the server's last packet; else unset.
@@ -157,6 +163,10 @@
 /// Whether the server has more requests than it can start soon, see `GateOptions::busyRequestsPerSlot`.
 bool isBusy(GateState &state, TimePoint now);
 
+/// Whether the server has been ejected because it resets flows, see `GateOptions::maxConsecutiveResets`, or
+/// has still to show by one request that it answers again.
+bool isFailing(GateState &state, TimePoint now);
+
 /// Decides about an opening packet from the queue: whether it is delivered, or returned since the server has
 /// changed meanwhile.
 GateDecision admitQueued(GateState &state, const QueuedOpening &opening, TimePoint now);
@@ -217,7 +227,8 @@
 /// Removes flows that were idle for longer than callers and servers keep them, and expired notes.
 void expireEntries(GateState &state, TimePoint now);
 
-/// The report for balancers. `lifetime` identifies the agent's start.
-Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now);
+/// The report for balancers. `lifetime` identifies the agent's start. Names the server's flows if `withFlows`
+/// and the agent knows all of them.
+Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows);
 
 } // namespace oriolelever
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -32,6 +32,14 @@
     std::chrono::milliseconds tickPeriod{250}; ///< Also between hellos to an unreachable agent.
     /// Between hellos to a reachable agent: a tenth of the time for which it reports after one.
     std::chrono::milliseconds helloPeriod{1000};
+    /// The same for an agent that reports rarely.
+    std::chrono::milliseconds remoteHelloPeriod{4000};
+    /// Between two requests for the flows that an agent holds, while flows are searched.
+    std::chrono::milliseconds flowRequestPeriod{150};
+    /// The same for an agent whose last answer did not name them.
+    std::chrono::milliseconds unansweredFlowRequestPeriod{1000};
+    /// Between two checks whether reports have decided searches.
+    std::chrono::milliseconds searchCheckPeriod{20};
     /// Between hellos to an agent without a report for `staleAgentTimeout`.
     std::chrono::milliseconds staleAgentHelloPeriod{5000};
     std::chrono::milliseconds staleAgentTimeout{20'000};
@@ -89,6 +97,8 @@
     void logDecision(const SteeringDecision &decision, const Segment &segment);
     /// Resets unresolved flows that no server holds.
     void resetUnheldFlows(TimePoint now);
+    /// Asks agents for the flows that they hold, and resets the callers of flows that nobody holds.
+    void resolveUnknownFlows(TimePoint now);
     void sendHello(BackendIndex index);
     void tick();
     void scheduleTick();
@@ -102,6 +112,7 @@
     asio::steady_timer m_drainTimer;
     std::unique_ptr<Counters> m_counters;
     std::vector<TimePoint> m_helloSentAt; ///< When the last hello was sent, by `BackendIndex`.
+    TimePoint m_searchesCheckedAt{}; ///< When `resolveUnknownFlows` last looked at the searches.
     TimePoint m_now{}; ///< Read once per datagram batch; zero between batches.
     TimePoint m_lastIterationAt{}; ///< When `updateClock` was last called.
     TimePoint m_lastPacketAt{}; ///< When the last packet of a caller came.
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
@@ -24,8 +25,20 @@
 struct SteeringOptions
 {
     ZoneId zone; ///< Availability zone of the balancer and of its callers.
-    /// An agent is unreachable when its last report is this old: three and a half report periods.
-    std::chrono::milliseconds reportTimeout{700};
+    /// Period of the reports that this balancer asks for where it may place flows at any time.
+    std::chrono::milliseconds reportPeriod{200};
+    /// Period of the reports of other zones' agents while the own zone's servers can take the callers' flows.
+    std::chrono::milliseconds remoteReportPeriod{1000};
+    /// An agent is unreachable when its last report is this many periods old.
+    double reportTimeoutPeriods = 3.5;
+    /// Servers of a service that the own zone needs so that other zones' reports may be rarer: as many as a
+    /// flow's key ranks.
+    std::size_t minOwnZoneServers = 4;
+    /// Requests per slot at which the own zone's servers are loaded on average, so that other zones' servers
+    /// may be needed.
+    double loadedRequestsPerSlot = 0.75;
+    /// Age up to which an agent's list of flows rules out a flow for which it is not offered the packet.
+    std::chrono::milliseconds flowFilterLifetime{400};
     /// How long a new agent's first report is awaited: two report periods.
     std::chrono::milliseconds firstReportWait{400};
     /// An agent that has just started may not have written its entry in the platform's store yet.
@@ -85,6 +98,10 @@
     TimePoint knownSince{}; ///< When the agent became known, or the end of the last stall.
     TimePoint agentStartedAt{}; ///< When the first report of the agent's current start came.
     std::uint32_t placedFlows = 0; ///< New flows that this balancer has sent there since `report`.
+    std::optional<FlowFilter> heldFlowFilter; ///< The last that the agent sent in its current start.
+    TimePoint heldFlowFilterAt{}; ///< When `heldFlowFilter` came.
+    std::chrono::milliseconds reportPeriod{200}; ///< As the agent was asked.
+    TimePoint reportPeriodSetAt{}; ///< When `reportPeriod` changed last.
     bool isEntryMissing = false; ///< The agent reports, but has no entry in the platform's store.
 };
 
@@ -191,6 +208,8 @@
     std::unordered_map<FlowKey, SteeredFlow> flows; ///< The cache.
     /// Flows whose packets were dropped because their holder could not be determined.
     std::vector<FlowKey> unresolvedFlows;
+    TimePoint lastSearchStartedAt{}; ///< When a search started last.
+    TimePoint lastOfferAt{}; ///< When a search last offered a packet to an agent that no note named.
     std::uint32_t selectionCounter = 0; ///< Counts placements; varies the choice of service and tie-breaks.
 };
 
@@ -217,7 +236,23 @@
 /// Puts a configuration in force; returns false if it is older than the one in force.
 bool applyTable(SteeringState &state, RoutingTable table);
 
-/// Whether the agent's last report is younger than `reportTimeout`.
+/// Sets the period of reports that the agent is asked for.
+void setReportPeriod(SteeringState &state, BackendIndex index, std::chrono::milliseconds period,
+                     TimePoint now);
+
+/// Returns the period of reports that each agent should have, in the order of `SteeringState::backends`. An
+/// agent of another zone reports rarely while the own zone has enough servers of its service that are not
+/// loaded, and no search for a flow is under way.
+std::vector<std::chrono::milliseconds> reportPeriods(const SteeringState &state, TimePoint now);
+
+/// Whether flows are being searched for which agents should name the flows that they hold.
+bool needsFlowFilters(const SteeringState &state, TimePoint now);
+
+/// Whether the agent should be asked for the flows that it holds: flows are being searched, and what it has
+/// sent may be older than a search.
+bool lacksFlowFilter(const SteeringState &state, const Backend &backend, TimePoint now);
+
+/// Whether the agent's last report is younger than `reportTimeoutPeriods`.
 bool isReachable(const SteeringState &state, const Backend &backend, TimePoint now);
 
 /// Whether new flows of `service` may go to the server.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -332,14 +332,19 @@
     }
     auto &balancer = m_balancers[from.address];
     const bool isNew = balancer.lifetime != hello.lifetime;
-    balancer = {.lifetime = hello.lifetime, .lastHelloAt = m_now};
+    balancer.lifetime = hello.lifetime;
+    balancer.lastHelloAt = m_now;
+    balancer.reportPeriod = hello.reportPeriod;
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
     if (isNew) {
         m_log.write(m_now, "balancer_heard", "balancer", toString(from.address), "balancer_lifetime",
                     hello.lifetime);
+    }
+    if (isNew || hello.wantsFlows) {
+        balancer.lastReportAt = m_now;
         std::array<std::uint8_t, maxPeerMessageSize> report{};
-        const auto size = encodeReport(report, makeReport(m_state, m_options.lifetime, m_now));
+        const auto size = encodeReport(report, makeReport(m_state, m_options.lifetime, m_now, true));
         m_relay.sendCopy({report.data(), size}, {from.address, m_options.balancerPort});
     }
     if (hello.unlisted && entryMissing) {
@@ -362,6 +367,9 @@
         m_counters->answered.Increment();
         const auto latencies = recordServerPacket(m_state, segment, m_now);
         m_counters->observe(latencies);
+        if (segment.rst) {
+            reportFailing(m_now);
+        }
         m_outbound.send(bytes, {segment.destination.address, m_options.callerPort});
         return;
     }
@@ -409,7 +417,7 @@
     for (const auto &address : balancers) {
         const auto [found, isNew] = m_balancers.try_emplace(address);
         if (isNew) {
-            found->second.lastHelloAt = now;
+            found->second = {.lastHelloAt = now, .reportPeriod = m_options.reportPeriod};
         }
     }
     sendReports();
@@ -417,11 +425,26 @@
 
 void GateNode::sendReports()
 {
-    const auto now = steadyNow();
-    m_lastReport = now;
+    for (auto &[address, balancer] : m_balancers) {
+        balancer.lastReportAt = {};
+    }
+    sendDueReports(steadyNow());
+}
+
+void GateNode::sendDueReports(TimePoint now)
+{
+    // A period ends at the tick that is nearest to it.
+    const auto tolerance = m_options.tickPeriod / 2;
     std::array<std::uint8_t, maxPeerMessageSize> report{};
-    const auto size = encodeReport(report, makeReport(m_state, m_options.lifetime, now));
-    for (const auto &[address, balancer] : m_balancers) {
+    std::size_t size = 0;
+    for (auto &[address, balancer] : m_balancers) {
+        if (now - balancer.lastReportAt + tolerance < balancer.reportPeriod) {
+            continue;
+        }
+        if (size == 0) {
+            size = encodeReport(report, makeReport(m_state, m_options.lifetime, now, false));
+        }
+        balancer.lastReportAt = now;
         m_relay.sendCopy({report.data(), size}, {address, m_options.balancerPort});
     }
     m_relay.flush();
@@ -439,9 +462,8 @@
     if (!m_state.openingQueue.openings.empty()) {
         serveQueue(now);
     }
-    if (now - m_lastReport >= m_options.reportPeriod) {
-        sendReports();
-    }
+    reportFailing(now);
+    sendDueReports(now);
     if (now - m_lastExpiry > expiryPeriod) {
         m_lastExpiry = now;
         expireEntries(m_state, now);
@@ -456,6 +478,18 @@
     m_log.flush(now);
 }
 
+void GateNode::reportFailing(TimePoint now)
+{
+    const bool failing = isFailing(m_state, now);
+    if (failing == m_wasFailing) {
+        return;
+    }
+    m_wasFailing = failing;
+    m_log.write(now, "server_failing", "failing", failing, "resets", m_state.consecutiveResets, "ejections",
+                m_state.ejections, "ejected_ms", std::max(m_state.ejectedUntil - now, Duration::zero()));
+    sendReports();
+}
+
 void GateNode::scheduleTick()
 {
     m_timer.expires_after(m_options.tickPeriod);
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -8,12 +8,15 @@
 
 namespace {
 
-constexpr std::uint8_t messageVersion = 1;
-constexpr std::size_t helloSize = peerHeaderSize + 9; // Bytes, as all sizes here.
-constexpr std::size_t reportSize = peerHeaderSize + 39;
+constexpr std::uint8_t messageVersion = 2;
+constexpr std::size_t helloSize = peerHeaderSize + 11; // Bytes, as all sizes here.
+constexpr std::size_t reportSize = peerHeaderSize + 40;
 constexpr std::size_t filterSize = FlowFilter::wordCount * sizeof(std::uint64_t);
 constexpr std::uint8_t mayReturnBusyFlag = 1; // In the flags of the header: `PeerHeader::mayReturnBusy`.
-constexpr std::uint8_t unlistedFlag = 1; // In the first byte of a hello's body: `Hello::unlisted`.
+// In the first byte of a hello's body.
+constexpr std::uint8_t unlistedFlag = 1;
+constexpr std::uint8_t wantsFlowsFlag = 2;
+constexpr std::uint8_t failingFlag = 1; // In the last byte of a report's body: `Report::isFailing`.
 
 std::uint32_t clampedMilliseconds(std::chrono::milliseconds time)
 {
@@ -148,9 +151,12 @@
 {
     encodePeerHeader(out, {.type = PeerMessageType::Hello, .number = hello.lifetime});
     std::uint8_t *body = out.data() + peerHeaderSize;
-    body[0] = hello.unlisted ? unlistedFlag : 0;
+    body[0] = static_cast<std::uint8_t>((hello.unlisted ? unlistedFlag : 0)
+                                        | (hello.wantsFlows ? wantsFlowsFlag : 0));
     write32(body + 1, hello.coldFlowsPerSecond);
     write32(body + 5, clampedMilliseconds(hello.idleLimit));
+    write16(body + 9,
+            static_cast<std::uint16_t>(std::clamp<std::int64_t>(hello.reportPeriod.count(), 0, UINT16_MAX)));
     return helloSize;
 }
 
@@ -165,7 +171,9 @@
     out.lifetime = header.number;
     out.unlisted = (body[0] & unlistedFlag) != 0;
     out.coldFlowsPerSecond = read32(body + 1);
+    out.wantsFlows = (body[0] & wantsFlowsFlag) != 0;
     out.idleLimit = std::chrono::milliseconds(read32(body + 5));
+    out.reportPeriod = std::chrono::milliseconds(read16(body + 9));
     return true;
 }
 
@@ -181,6 +189,7 @@
     write32(body + 23, report.waiting);
     write32(body + 27, clampedMilliseconds(report.coldLeft));
     write64(body + 31, report.bornAt);
+    body[39] = report.isFailing ? failingFlag : 0;
     if (!report.heldFlowFilter) {
         return reportSize;
     }
@@ -212,6 +221,7 @@
     out.waiting = read32(body + 23);
     out.coldLeft = std::chrono::milliseconds(read32(body + 27));
     out.bornAt = read64(body + 31);
+    out.isFailing = (body[39] & failingFlag) != 0;
     out.heldFlowFilter.reset();
     if (bytes.size() > reportSize) {
         body = bytes.data() + reportSize;
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -110,6 +110,21 @@
         && (found->second.openingUnanswered || found->second.halfOpen);
 }
 
+// Ejects the server if it has reset too many requests in a row, or one while it was on trial.
+void recordResetRequest(GateState &state, TimePoint now)
+{
+    constexpr std::uint32_t maxDoublings = 8;
+    const auto &options = state.options;
+    ++state.consecutiveResets;
+    if (now < state.ejectedUntil
+        || (state.ejections == 0 && state.consecutiveResets < options.maxConsecutiveResets)) {
+        return;
+    }
+    const auto doubled = options.firstEjection * (1 << std::min(state.ejections, maxDoublings));
+    state.ejectedUntil = now + std::min<std::chrono::milliseconds>(doubled, options.maxEjection);
+    ++state.ejections;
+}
+
 // What keeps the server from getting a new flow of the service, if anything.
 std::optional<ReturnReason> reasonAgainstOpening(const GateState &state, ServiceId intendedService,
                                                  TimePoint now)
@@ -159,7 +174,7 @@
         return returnDecision(*reason);
     }
     const auto key = flowFromCaller(segment);
-    if (!isBusy(state, now) || isOpening(state, key)) {
+    if (isOpening(state, key) || (!isBusy(state, now) && !(mayReturnBusy && isFailing(state, now)))) {
         return deliverOpening(state, key, now);
     }
     return mayReturnBusy ? returnDecision(ReturnReason::Busy) : GateDecision{.action = GateAction::Queue};
@@ -203,6 +218,14 @@
     return pendingRequests(state, now) >= state.options.busyRequestsPerSlot * slots;
 }
 
+bool isFailing(GateState &state, TimePoint now)
+{
+    if (state.ejections == 0) {
+        return false;
+    }
+    return now < state.ejectedUntil || pendingRequests(state, now) > 0;
+}
+
 GateDecision admitQueued(GateState &state, const QueuedOpening &opening, TimePoint now)
 {
     if (const auto reason = reasonAgainstOpening(state, opening.intendedService, now)) {
@@ -266,6 +289,9 @@
     const auto found = state.flows.find(key);
     if (segment.rst) {
         if (found != state.flows.end()) {
+            if (found->second.requestUnanswered) {
+                recordResetRequest(state, now);
+            }
             endFlow(state, found->second);
         }
         return latencies;
@@ -287,6 +313,8 @@
     if (segment.payloadSize > 0) {
         if (flow.requestUnanswered) {
             latencies.answer = now - flow.requestStartedAt;
+            state.consecutiveResets = 0;
+            state.ejections = 0;
         }
         setRequestUnanswered(state, flow, false);
     }
@@ -356,6 +384,8 @@
     state.unansweredPayloadSince = {};
     state.lastHeartbeat = std::move(heartbeat);
     if (isNewStart) {
+        state.consecutiveResets = 0;
+        state.ejections = 0;
         state.hasSeenServerStart = hasHeartbeat || state.lastHeartbeat.sequence == firstHeartbeatSequence
             || hasStartedBeforeServer(state, now, timeOfDay);
         state.serverStartSeenAt = state.hasSeenServerStart ? now : TimePoint{};
@@ -455,14 +485,13 @@
     });
 }
 
-Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now)
+Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows)
 {
     const bool hasHeartbeat = state.lastHeartbeatAt != TimePoint{};
     const bool holdsFlows
         = state.serverState == BackendState::Ready || state.serverState == BackendState::Draining;
     std::optional<FlowFilter> heldFlowFilter;
-    if (state.hasSeenServerStart && holdsFlows
-        && now - state.serverStartSeenAt < state.options.flowFilterDuration) {
+    if (withFlows && state.hasSeenServerStart && holdsFlows) {
         heldFlowFilter.emplace();
         for (const auto &[key, flow] : state.flows) {
             heldFlowFilter->add(hashFlow(key));
@@ -480,6 +509,7 @@
         = pendingRequests(state, now) + static_cast<std::uint32_t>(state.openingQueue.openings.size()),
         .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
         .bornAt = state.lastHeartbeat.startTimeMs,
+        .isFailing = isFailing(state, now),
         .heldFlowFilter = heldFlowFilter,
     };
 }
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -89,10 +89,13 @@
         [this](std::span<std::uint8_t> bytes, const Endpoint &from) { handleAgentMessage(bytes, from); }));
     // All datagrams leave by the agents' socket, so that agents answer to where reports arrive.
     m_callerSocket.afterBatch = [this] {
+        resolveUnknownFlows(m_now);
         m_agentSocket.flush();
         m_now = {};
     };
     m_agentSocket.afterBatch = [this] {
+        resolveUnknownFlows(m_now);
+        m_agentSocket.flush();
         m_now = {};
     };
     m_log.write(steadyNow(), "started", "role", "balancer", "callers", toString(m_options.callerEndpoint),
@@ -350,6 +353,8 @@
         .coldFlowsPerSecond = coldLimit,
         .idleLimit = m_state.table.idleLimit,
         .unlisted = backend.isEntryMissing,
+        .wantsFlows = needsFlowFilters(m_state, now),
+        .reportPeriod = backend.reportPeriod,
     };
     std::array<std::uint8_t, maxPeerMessageSize> bytes{};
     const auto size = encodeHello(bytes, hello);
@@ -366,18 +371,49 @@
     }
 }
 
+void SteeringNode::resolveUnknownFlows(TimePoint now)
+{
+    if (now == TimePoint{} || now - m_searchesCheckedAt < m_options.searchCheckPeriod
+        || !needsFlowFilters(m_state, now)) {
+        return;
+    }
+    m_searchesCheckedAt = now;
+    m_helloSentAt.resize(m_state.backends.size());
+    for (std::size_t i = 0; i < m_state.backends.size(); ++i) {
+        const auto &backend = m_state.backends[i];
+        if (!lacksFlowFilter(m_state, backend, now)) {
+            continue;
+        }
+        const bool namesFlows = backend.heldFlowFilter || backend.reportedAt < m_helloSentAt[i];
+        const auto period = namesFlows ? m_options.flowRequestPeriod : m_options.unansweredFlowRequestPeriod;
+        if (now - m_helloSentAt[i] >= period) {
+            sendHello(static_cast<BackendIndex>(i));
+        }
+    }
+    resetUnheldFlows(now);
+}
+
 void SteeringNode::tick()
 {
     updateClock();
     const auto now = std::exchange(m_now, TimePoint{});
     m_helloSentAt.resize(m_state.backends.size());
+    const auto reportPeriods = oriolelever::reportPeriods(m_state, now);
     std::size_t reachableAgents = 0;
     for (std::size_t i = 0; i < m_state.backends.size(); ++i) {
         const auto &backend = m_state.backends[i];
         const bool isReachableNow = isReachable(m_state, backend, now);
         reachableAgents += isReachableNow ? 1 : 0;
         const auto lastContact = std::max(backend.reportedAt, backend.knownSince);
-        auto period = isReachableNow ? m_options.helloPeriod : m_options.tickPeriod;
+        const bool changesPeriod = reportPeriods[i] != backend.reportPeriod;
+        setReportPeriod(m_state, static_cast<BackendIndex>(i), reportPeriods[i], now);
+        const bool isRemote = backend.reportPeriod == m_options.steering.remoteReportPeriod;
+        auto period = !isReachableNow ? m_options.tickPeriod
+            : isRemote                ? m_options.remoteHelloPeriod
+                                      : m_options.helloPeriod;
+        if (changesPeriod) {
+            period = std::chrono::milliseconds::zero();
+        }
         if (now - lastContact > m_options.staleAgentTimeout) {
             period = m_options.staleAgentHelloPeriod;
         }
@@ -385,7 +421,7 @@
             sendHello(static_cast<BackendIndex>(i));
         }
     }
-    resetUnheldFlows(now);
+    resolveUnknownFlows(now);
     m_agentSocket.flush();
     if (now - m_lastExpiryAt > expiryPeriod) {
         m_lastExpiryAt = now;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -80,6 +80,21 @@
     return std::find(indexes.begin(), indexes.end(), index) != indexes.end();
 }
 
+// Whether most of the service's servers fail, so that leaving them out could overload the others.
+bool areMostFailing(const SteeringState &state, ServiceId service, TimePoint now)
+{
+    std::size_t failing = 0;
+    std::size_t accepting = 0;
+    for (const auto &backend : state.backends) {
+        if (!acceptsFlows(state, backend, service, now)) {
+            continue;
+        }
+        ++accepting;
+        failing += backend.report.isFailing ? 1 : 0;
+    }
+    return 2 * failing > accepting;
+}
+
 SteeringDecision reset(SteeringCause cause)
 {
     return {.action = SteeringAction::Reset, .cause = cause};
@@ -205,16 +220,18 @@
     excluded.push_back(busy);
     const auto other = chooseBackend(state, service, key, excluded, now);
     const bool isOtherBetter = other != noBackend
-        && loadOf(state.options, state.backends[other]) < loadOf(state.options, busyBackend);
+        && (busyBackend.report.isFailing
+            || loadOf(state.options, state.backends[other]) < loadOf(state.options, busyBackend));
     flow.holder = isOtherBetter ? other : busy;
     ++state.backends[flow.holder].placedFlows;
     return forward(SteeringCause::Moved, flow.holder, service);
 }
 
-// Whether the report names all flows of the server, and this one is not among them.
-bool excludesFlow(const Backend &backend, std::uint64_t flowHash)
+// Whether the agent has lately named all flows of its server, and this one is not among them.
+bool excludesFlow(const SteeringState &state, const Backend &backend, std::uint64_t flowHash, TimePoint now)
 {
-    return backend.report.heldFlowFilter && !backend.report.heldFlowFilter->mayContain(flowHash);
+    return backend.heldFlowFilter && now - backend.heldFlowFilterAt < state.options.flowFilterLifetime
+        && !backend.heldFlowFilter->mayContain(flowHash);
 }
 
 // The next agent to offer the flow's packet to. Those that the flow's key ranks first precede other servers
@@ -233,7 +250,7 @@
         const auto &backend = state.backends[i];
         if (!isReachable(state, backend, now) || backend.report.state == BackendState::Gone
             || contains(flow.rejectedBy, index) || contains(flow.unresponsive, index)
-            || excludesFlow(backend, flowHash)) {
+            || excludesFlow(state, backend, flowHash, now)) {
             continue;
         }
         const int zoneRank = backend.report.zone == state.options.zone ? 0 : 1;
@@ -269,9 +286,9 @@
             const auto limit
                 = hasReported ? state.options.restartTimeout : state.options.neverReportedTimeout;
             undecidedAgents.unreachable += now - since < limit ? 1 : 0;
-        } else if (!excludesFlow(backend, flowHash)) {
+        } else if (!excludesFlow(state, backend, flowHash, now)) {
             ++undecidedAgents.notOffered;
-        } else if (backend.reportedAt <= flow.searchStartedAt + maxReportTransit) {
+        } else if (backend.heldFlowFilterAt <= flow.searchStartedAt + maxReportTransit) {
             ++undecidedAgents.staleReports;
         }
     }
@@ -294,10 +311,11 @@
 }
 
 // Keeps the start of the first search: reports that came later cover the flow.
-void recordSearchStart(SteeredFlow &flow, TimePoint now)
+void recordSearchStart(SteeringState &state, SteeredFlow &flow, TimePoint now)
 {
     if (flow.searchStartedAt == TimePoint{}) {
         flow.searchStartedAt = now;
+        state.lastSearchStartedAt = now;
     }
 }
 
@@ -310,7 +328,7 @@
     flow.lastPacketAt = now;
     flow.isHolderKnown = false;
     flow.offeredAcknowledgement = segment.acknowledgement;
-    recordSearchStart(flow, now);
+    recordSearchStart(state, flow, now);
     markUnresolved(state, key, flow);
     return drop(SteeringCause::NotReady);
 }
@@ -343,7 +361,7 @@
     flow.offeredSequence = segment.sequence;
     flow.offeredAcknowledgement = segment.acknowledgement;
     flow.offeredAt = now;
-    recordSearchStart(flow, now);
+    recordSearchStart(state, flow, now);
     const auto key = flowFromCaller(segment);
     if (flow.noteQueries < noteQueryCount) {
         const auto agents = noteAgentsFor(state, key, now);
@@ -356,6 +374,7 @@
     }
     flow.holder = nextCandidate(state, route, key, flow, now);
     if (flow.holder != noBackend) {
+        state.lastOfferAt = now;
         return forward(SteeringCause::Searching, flow.holder);
     }
     const auto undecidedAgents = countUndecidedAgents(state, flow, key, now);
@@ -543,11 +562,77 @@
     if (backend.reportedAt == TimePoint{} || backend.report.lifetime != report.lifetime) {
         backend.agentStartedAt = now;
     }
+    if (report.heldFlowFilter) {
+        backend.heldFlowFilter = report.heldFlowFilter;
+        backend.heldFlowFilterAt = now;
+    } else if (backend.report.lifetime != report.lifetime || backend.report.bornAt != report.bornAt) {
+        backend.heldFlowFilter.reset();
+    }
     backend.report = report;
     backend.reportedAt = now;
     backend.placedFlows = 0;
 }
 
+void setReportPeriod(SteeringState &state, BackendIndex index, std::chrono::milliseconds period,
+                     TimePoint now)
+{
+    auto &backend = state.backends[index];
+    if (backend.reportPeriod != period) {
+        backend.reportPeriod = period;
+        backend.reportPeriodSetAt = now;
+    }
+}
+
+bool needsFlowFilters(const SteeringState &state, TimePoint now)
+{
+    return !state.unresolvedFlows.empty()
+        || (state.lastOfferAt != TimePoint{} && now - state.lastOfferAt < state.options.flowFilterLifetime);
+}
+
+bool lacksFlowFilter(const SteeringState &state, const Backend &backend, TimePoint now)
+{
+    return needsFlowFilters(state, now) && isReachable(state, backend, now)
+        && (!backend.heldFlowFilter
+            || backend.heldFlowFilterAt <= state.lastSearchStartedAt + maxReportTransit);
+}
+
+std::vector<std::chrono::milliseconds> reportPeriods(const SteeringState &state, TimePoint now)
+{
+    struct ZoneCapacity
+    {
+        std::size_t servers = 0;
+        std::uint32_t slots = 0;
+        std::uint32_t requests = 0;
+    };
+
+    std::unordered_map<ServiceId, ZoneCapacity> ownZone;
+    for (const auto &backend : state.backends) {
+        const auto service = backend.report.service;
+        if (backend.report.zone != state.options.zone || backend.report.isFailing
+            || !acceptsFlows(state, backend, service, now)) {
+            continue;
+        }
+        auto &capacity = ownZone[service];
+        ++capacity.servers;
+        capacity.slots += backend.report.slots;
+        capacity.requests += backend.report.waiting + backend.placedFlows;
+    }
+    const auto sufficesAlone = [&](ServiceId service) {
+        const auto found = ownZone.find(service);
+        return found != ownZone.end() && found->second.servers >= state.options.minOwnZoneServers
+            && found->second.requests < state.options.loadedRequestsPerSlot * found->second.slots;
+    };
+    const bool isSearching = needsFlowFilters(state, now);
+    std::vector<std::chrono::milliseconds> periods;
+    periods.reserve(state.backends.size());
+    for (const auto &backend : state.backends) {
+        const bool isRare = !isSearching && backend.report.zone != state.options.zone
+            && isReachable(state, backend, now) && sufficesAlone(backend.report.service);
+        periods.push_back(isRare ? state.options.remoteReportPeriod : state.options.reportPeriod);
+    }
+    return periods;
+}
+
 bool applyTable(SteeringState &state, RoutingTable table)
 {
     if (state.hasTable && table.revision < state.table.revision) {
@@ -560,7 +645,12 @@
 
 bool isReachable(const SteeringState &state, const Backend &backend, TimePoint now)
 {
-    return backend.reportedAt != TimePoint{} && now - backend.reportedAt < state.options.reportTimeout;
+    if (backend.reportedAt == TimePoint{}) {
+        return false;
+    }
+    const std::chrono::duration<double, std::milli> timeout
+        = state.options.reportTimeoutPeriods * backend.reportPeriod;
+    return now - std::max(backend.reportedAt, backend.reportPeriodSetAt) < timeout;
 }
 
 bool acceptsFlows(const SteeringState &state, const Backend &backend, ServiceId service, TimePoint now)
@@ -597,9 +687,12 @@
 BackendIndex chooseBackend(const SteeringState &state, ServiceId service, const FlowKey &flow,
                            const std::vector<BackendIndex> &rejectedBy, TimePoint now)
 {
-    const auto ranking = rankServers(state, flow, [&](BackendIndex index, const Backend &backend) {
-        return acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index);
-    });
+    const bool avoidsFailing = !areMostFailing(state, service, now);
+    const auto isCandidate = [&](BackendIndex index, const Backend &backend) {
+        return acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index)
+            && !(avoidsFailing && backend.report.isFailing);
+    };
+    const auto ranking = rankServers(state, flow, isCandidate);
 
     struct Best
     {
@@ -626,7 +719,7 @@
         // Starts at another server each time, as a tie-break.
         const auto index = static_cast<BackendIndex>((i + state.selectionCounter) % count);
         const auto &backend = state.backends[index];
-        if (!acceptsFlows(state, backend, service, now) || contains(rejectedBy, index)) {
+        if (!isCandidate(index, backend)) {
             continue;
         }
         const double load = loadOf(state.options, backend);
