--- a/include/oriolelever/http-service.h
+++ b/include/oriolelever/http-service.h
@@ -15,6 +15,7 @@
 {
     std::string method;
     std::string path; ///< Without the query.
+    std::string query; ///< After the question mark, as received; empty if there is none.
     std::string body;
 };
 
--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds firstRetryDelay{150}; ///< After the first failed call; see `followerBackoff`.
     /// Below the two seconds in which entries must be restored.
     std::chrono::milliseconds maxRetryDelay{1200};
+    /// Replaces `maxRetryDelay` until the first list: a process without the objects cannot work.
+    std::chrono::milliseconds maxFirstListDelay{1200};
 };
 
 /// Returns the delay before the next attempt after `failures` consecutive failures: exponential up to
@@ -49,6 +51,8 @@
 
     /// Starts with a list.
     void start();
+    /// Makes a call at once that waits to be retried after a failure, as the store has answered another call.
+    void retryNow();
 
 private:
     struct State;
--- a/include/oriolelever/presence.h
+++ b/include/oriolelever/presence.h
@@ -53,6 +53,8 @@
     void start();
     /// Writes the own entry again, at most once per `maxRetryDelay` and not before the first list.
     void renew();
+    /// Makes a call at once that waits to be retried after a failure, as the store has answered another call.
+    void retryNow();
     /// Removes the own entry, then calls `done`, also if that failed. Has no timeout of its own.
     void remove(std::function<void()> done);
 
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -5,7 +5,6 @@
 /// functions do no I/O and read no clock: time is an argument.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -41,7 +40,8 @@
     ZoneId zone; ///< Used until the first heartbeat, which names the server's zone.
     /// Window of the limit on new flows of a cold server: one second and the delay of a packet to the server.
     std::chrono::milliseconds coldRateWindow{1100};
-    std::uint32_t reservedColdFlows = 1; ///< Flows by which the gate stays below the limit of a cold server.
+    /// Flows by which the gate stays below the limit of a cold server, if that leaves any.
+    std::uint32_t reservedColdFlows = 1;
     /// Time without an answer to an opening packet before the server is suspect; a server answers within a
     /// few milliseconds.
     std::chrono::milliseconds openingTimeout{100};
@@ -114,10 +114,9 @@
     TimePoint coldUntil{}; ///< End of the server's slow start, by its last heartbeat.
     std::uint32_t coldFlowsPerSecond = 0; ///< Of a cold server; 0 until the first Hello of a balancer.
     std::chrono::milliseconds idleTimeout{0}; ///< As stated by a balancer; 0 if unknown.
-    static constexpr std::size_t openingHistorySize = 64; ///< Bounds the openings that the limit can count.
-    std::array<TimePoint, openingHistorySize>
-        recentOpenings{}; ///< Ring of the times of delivered opening packets.
-    std::size_t nextOpeningIndex = 0; ///< Slot of `recentOpenings` that is overwritten next.
+    /// Times of the opening packets that were delivered within `coldRateWindow` while a limit for cold
+    /// servers applied.
+    std::deque<TimePoint> recentOpenings;
     std::uint32_t waitingFlows = 0; ///< Flows with `requestUnanswered`.
     std::uint32_t endedFlows = 0; ///< Flows with `ended`.
     std::uint32_t expectedRequests = 0; ///< Flows with `firstRequestExpected`.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -157,6 +157,7 @@
                 "flows", m_state.flows.size());
     m_log.flush(steadyNow());
     m_timer.cancel();
+    m_probe.reset();
     m_relay.close();
     m_outbound.close();
 }
--- a/src/http-service.cc
+++ b/src/http-service.cc
@@ -38,6 +38,7 @@
                  .request_handler([handler = std::move(handler)](const restinio::request_handle_t &request) {
                      const auto reply = handler({.method = request->header().method().c_str(),
                                                  .path = std::string(request->header().path()),
+                                                 .query = std::string(request->header().query()),
                                                  .body = request->body()});
                      request
                          ->create_response(restinio::http_status_line_t(
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -40,6 +40,7 @@
                 return;
             }
             self->handleSuccess();
+            self->hasListed = true;
             self->objects.clear();
             for (const auto &object : answer.value().objects) {
                 self->objects.insert_or_assign(object.name, object);
@@ -100,9 +101,27 @@
             events.availability(false, error.text);
         }
         const double randomFraction = std::uniform_real_distribution<double>(0, 1)(random);
-        timer.expires_after(followerBackoff(options, failures, randomFraction));
+        auto backoff = options;
+        if (!hasListed) {
+            backoff.maxRetryDelay = options.maxFirstListDelay;
+        }
+        callAfter(followerBackoff(backoff, failures, randomFraction), nextCall);
+    }
+
+    void retryNow()
+    {
+        if (pendingRetry != nullptr) {
+            callAfter(std::chrono::milliseconds::zero(), pendingRetry);
+        }
+    }
+
+    void callAfter(std::chrono::milliseconds delay, void (State::*nextCall)())
+    {
+        pendingRetry = nextCall;
+        timer.expires_after(delay);
         timer.async_wait([self = shared_from_this(), nextCall](const asio::error_code &cancelled) {
             if (!cancelled && !self->isStopped) {
+                self->pendingRetry = nullptr;
                 ((*self).*nextCall)();
             }
         });
@@ -116,6 +135,8 @@
     Objects objects;
     std::uint64_t revision = 0; // Of the store, at the last list or watch.
     int failures = 0; // Consecutive failed calls.
+    void (State::*pendingRetry)() = nullptr; // Call that waits to be made again.
+    bool hasListed = false;
     bool isStopped = false;
 };
 
@@ -131,6 +152,11 @@
     m_state->timer.cancel();
 }
 
+void ObjectFollower::retryNow()
+{
+    m_state->retryNow();
+}
+
 void ObjectFollower::start()
 {
     m_state->list();
--- a/src/presence.cc
+++ b/src/presence.cc
@@ -30,7 +30,8 @@
         : api(objectApi)
         , options(std::move(presenceOptions))
         , events(std::move(presenceEvents))
-        , timer(context)
+        , writing(context)
+        , listing(context)
         , random(std::random_device{}())
     {
     }
@@ -60,7 +61,7 @@
             } else if (answer.error().code == Code::PlatformConflict) {
                 self->readExisting();
             } else {
-                self->retry(answer.error(), &State::create);
+                self->retry(answer.error(), self->writing, &State::create);
             }
         });
     }
@@ -74,7 +75,7 @@
                 return;
             }
             if (!answer) {
-                self->retry(answer.error(), &State::create);
+                self->retry(answer.error(), self->writing, &State::create);
                 return;
             }
             IpAddress host;
@@ -113,7 +114,7 @@
     void applyList(const Answer<ObjectList> &answer)
     {
         if (!answer) {
-            retry(answer.error(), &State::list);
+            retry(answer.error(), listing, &State::list);
             return;
         }
         failures = 0;
@@ -126,10 +127,22 @@
             }
         }
         events.listed(hosts);
-        callAfter(options.refreshPeriod, &State::list);
+        callAfter(listing, options.refreshPeriod, &State::list);
     }
 
-    void retry(const Error &error, void (State::*nextCall)())
+    // The next call of one kind.
+    struct Task
+    {
+        explicit Task(asio::io_context &context)
+            : timer(context)
+        {
+        }
+
+        asio::steady_timer timer;
+        void (State::*retry)() = nullptr; // Null unless the call is a retry.
+    };
+
+    void retry(const Error &error, Task &task, void (State::*nextCall)())
     {
         if (++failures == 1) {
             events.entry(false, error.text);
@@ -137,23 +150,44 @@
         const FollowerOptions backoff{.firstRetryDelay = options.firstRetryDelay,
                                       .maxRetryDelay = options.maxRetryDelay};
         const double randomFraction = std::uniform_real_distribution<double>(0, 1)(random);
-        callAfter(followerBackoff(backoff, failures, randomFraction), nextCall);
+        callAfter(task, followerBackoff(backoff, failures, randomFraction), nextCall);
+        task.retry = nextCall;
     }
 
-    void callAfter(std::chrono::milliseconds delay, void (State::*nextCall)())
+    void retryNow()
     {
-        timer.expires_after(delay);
-        timer.async_wait([self = shared_from_this(), nextCall](const asio::error_code &cancelled) {
-            if (!cancelled && !self->isStopped) {
-                ((*self).*nextCall)();
+        for (auto *task : {&writing, &listing}) {
+            if (task->retry == nullptr) {
+                continue;
             }
-        });
+            callAfter(*task, std::chrono::milliseconds::zero(), task->retry);
+        }
+    }
+
+    void callAfter(Task &task, std::chrono::milliseconds delay, void (State::*nextCall)())
+    {
+        task.retry = nullptr;
+        task.timer.expires_after(delay);
+        task.timer.async_wait(
+            [self = shared_from_this(), &task, nextCall](const asio::error_code &cancelled) {
+                if (!cancelled && !self->isStopped) {
+                    task.retry = nullptr;
+                    ((*self).*nextCall)();
+                }
+            });
+    }
+
+    void cancelTimers()
+    {
+        writing.timer.cancel();
+        listing.timer.cancel();
     }
 
     ObjectApi &api;
     PresenceOptions options;
     Events events;
-    asio::steady_timer timer;
+    Task writing; // Of the own entry.
+    Task listing;
     std::minstd_rand random;
     std::uint64_t version = 0; // Of the own entry in the store.
     std::chrono::steady_clock::time_point lastWrite{};
@@ -170,7 +204,7 @@
 Presence::~Presence()
 {
     m_state->isStopped = true;
-    m_state->timer.cancel();
+    m_state->cancelTimers();
 }
 
 void Presence::start()
@@ -186,10 +220,15 @@
     }
 }
 
+void Presence::retryNow()
+{
+    m_state->retryNow();
+}
+
 void Presence::remove(std::function<void()> done)
 {
     m_state->isStopped = true;
-    m_state->timer.cancel();
+    m_state->cancelTimers();
     m_state->api.remove(m_state->ownObject(m_state->version),
                         [done = std::move(done)](const Answer<std::uint64_t> &) { done(); });
 }
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -143,8 +143,13 @@
 
 GateDecision deliverOpening(GateState &state, const FlowKey &key, TimePoint now)
 {
-    state.recentOpenings[state.nextOpeningIndex] = now;
-    state.nextOpeningIndex = (state.nextOpeningIndex + 1) % state.recentOpenings.size();
+    while (!state.recentOpenings.empty()
+           && now - state.recentOpenings.front() >= state.options.coldRateWindow) {
+        state.recentOpenings.pop_front();
+    }
+    if (state.coldFlowsPerSecond != noColdLimit) {
+        state.recentOpenings.push_back(now);
+    }
     state.lostFlows.erase(key);
     const auto [found, isNew] = state.flows.try_emplace(key);
     auto &flow = found->second;
@@ -436,12 +441,13 @@
     if (now - state.agentStartedAt < state.options.coldRateWindow && state.lastHeartbeat.sequence > 1) {
         return false;
     }
-    const auto recentOpeningCount
-        = std::count_if(state.recentOpenings.begin(), state.recentOpenings.end(), [&](TimePoint opening) {
-              return opening != TimePoint{} && now - opening < state.options.coldRateWindow;
-          });
-    return static_cast<std::uint32_t>(recentOpeningCount) + state.options.reservedColdFlows
-        < state.coldFlowsPerSecond;
+    const auto recentOpenings
+        = std::count_if(state.recentOpenings.begin(), state.recentOpenings.end(),
+                        [&](TimePoint opening) { return now - opening < state.options.coldRateWindow; });
+    const auto limit = std::max(std::min(1U, state.coldFlowsPerSecond),
+                                state.coldFlowsPerSecond
+                                    - std::min(state.options.reservedColdFlows, state.coldFlowsPerSecond));
+    return static_cast<std::uint32_t>(recentOpenings) < limit;
 }
 
 void recordNote(GateState &state, const FlowKey &flow, const IpAddress &holder, TimePoint now)
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -415,6 +415,15 @@
     return decision;
 }
 
+// Records that a search has found the holder, so that a later search starts from the beginning.
+void endSearch(SteeredFlow &flow)
+{
+    flow.isNoteQueryPending = false;
+    flow.isHolderKnown = true;
+    flow.noteQueries = 0;
+    flow.undecidedSearches = 0;
+}
+
 // Decides about a packet of a flow whose holder is being searched. A caller that retransmits the offered
 // packet has had no answer, and an agent whose server is down does not return it, so the search goes on.
 SteeringDecision steerDuringSearch(SteeringState &state, const VirtualRoute &route, SteeredFlow &flow,
@@ -427,7 +436,7 @@
                                 : queryNote(flow, flow.holder);
     }
     if (segment.acknowledgement != flow.offeredAcknowledgement) {
-        flow.isHolderKnown = true;
+        endSearch(flow);
         flow.isAnswerAcknowledged = true;
         flow.searchStartedAt = {};
         flow.rejectedBy.clear();
@@ -453,8 +462,7 @@
     if (notedHolder == noBackend || contains(flow.rejectedBy, notedHolder)) {
         return continueSearch(state, route, flow, segment, now);
     }
-    flow.isNoteQueryPending = false;
-    flow.isHolderKnown = true;
+    endSearch(flow);
     flow.areNotesSent = true;
     flow.holder = notedHolder;
     return forward(SteeringCause::Searching, notedHolder);
--- a/test/documents-test.cc
+++ b/test/documents-test.cc
@@ -162,5 +162,19 @@
     EXPECT_NE(errorOf([] { return parseBootSettings("not JSON"); }), "");
 }
 
+TEST(DocumentsTest, ANumberOutOfRangeIsAFaultAndNotCutOff)
+{
+    for (const double port : {0.0, 65536.0, 73256.0, -1.0, 7720.5}) {
+        auto json = nlohmann::json::parse(settings);
+        json["InternalPorts"][0] = port;
+        EXPECT_NE(errorOf([&] { return parseBootSettings(json.dump()); }), "") << port;
+    }
+    for (const double period : {0.0, -5.0, 1e12}) {
+        auto json = nlohmann::json::parse(settings);
+        json["BeatMs"] = period;
+        EXPECT_NE(errorOf([&] { return parseBootSettings(json.dump()); }), "") << period;
+    }
+}
+
 } // namespace
 } // namespace oriolelever::platform
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -345,6 +345,25 @@
     EXPECT_EQ(admitOpening().action, GateAction::Deliver);
 }
 
+TEST_F(ServerGateTest, ColdLimitsOfOneAndOfManyHold)
+{
+    state.options.busyRequestsPerSlot = UINT32_MAX;
+    auto heartbeat = makeHeartbeat(1);
+    heartbeat.coldLeft = milliseconds(20'000);
+    apply(heartbeat);
+    for (const std::uint32_t limit : {1U, 2U, 65U, 66U, 300U}) {
+        now += state.options.coldRateWindow;
+        state.coldFlowsPerSecond = limit;
+        std::uint32_t delivered = 0;
+        for (std::uint16_t port = 1; port <= 400; ++port) {
+            delivered += admitOpening(port).action == GateAction::Deliver ? 1 : 0;
+        }
+        EXPECT_GE(delivered, 1U) << limit;
+        EXPECT_LE(delivered, limit);
+        EXPECT_GE(delivered + state.options.reservedColdFlows, limit);
+    }
+}
+
 TEST_F(ServerGateTest, WithoutAStatedRateAColdServerIsNotLimited)
 {
     state.options.busyRequestsPerSlot = UINT32_MAX;
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -885,6 +885,29 @@
     EXPECT_EQ(third.cause, SteeringCause::NoServer);
 }
 
+TEST_F(SteeringTest, ASearchThatFoundTheFlowLeavesNothingToTheNextOne)
+{
+    listAgents({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+    report("10.0.0.1", {.state = BackendState::Ready, .slots = 2});
+    report("10.0.0.2", {.state = BackendState::Ready, .slots = 2});
+    now += state.options.firstReportWait;
+    const auto reportBoth = [&] {
+        report("10.0.0.1", {.state = BackendState::Ready, .slots = 2});
+        report("10.0.0.2", {.state = BackendState::Ready, .slots = 2});
+    };
+    reportBoth();
+    EXPECT_EQ(searchAllAgents(1, data(1)).second.cause, SteeringCause::Undecided);
+    now += state.options.undecidedRetryDelay;
+    reportBoth();
+    auto query = data(1);
+    ASSERT_EQ(query.action, SteeringAction::QueryNote);
+    const auto found = returnPacket(1, false, query.backend, ReturnReason::Noted, address("10.0.0.3"));
+    ASSERT_EQ(found.action, SteeringAction::Forward);
+    const auto again = returnPacket(1, false, found.backend, ReturnReason::NotHeld);
+    EXPECT_EQ(again.action, SteeringAction::QueryNote) << "the agents that keep notes are queried again";
+    EXPECT_EQ(state.flows.at(flowFromCaller(packet(1, false))).undecidedSearches, 0);
+}
+
 TEST_F(SteeringTest, AnotherZonesAgentsReportRarelyWhileTheOwnZoneSuffices)
 {
     const auto reportServers = [&](std::uint32_t waiting) {
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -115,6 +115,30 @@
     EXPECT_EQ(list.value().revision, 9U) << "a watch after the first page misses no later change";
 }
 
+TEST_F(StoreClientTest, APageOfForeignObjectsDoesNotEndTheList)
+{
+    const json foreign{{"meta", {{"Name", "f/1 &?"}}}, {"spec", 1}};
+    addReply(200, {{"items", {foreign}}, {"More", true}, {"StoreRevision", 9}});
+    addReply(200, {{"items", {storedObject("g", 5, 3)}}, {"More", false}, {"StoreRevision", 11}});
+    std::optional<Answer<ObjectList>> listed;
+    client->list("agents", storeIn(listed));
+    const auto list = wait(listed);
+    ASSERT_TRUE(list);
+    ASSERT_EQ(list.value().objects.size(), 1U);
+    EXPECT_EQ(list.value().revision, 9U) << "of the first page";
+    EXPECT_EQ(requests[1].query, "after=f%2F1%20%26%3F");
+}
+
+TEST_F(StoreClientTest, APageWithoutANameToContinueAfterIsAnError)
+{
+    addReply(200, {{"items", {{{"foreign", true}}}}, {"More", true}, {"StoreRevision", 9}});
+    std::optional<Answer<ObjectList>> listed;
+    client->list("agents", storeIn(listed));
+    ASSERT_FALSE(wait(listed));
+    EXPECT_EQ(listed->error().code, Code::PlatformRefused);
+    EXPECT_EQ(requests.size(), 1U) << "the page is not requested again";
+}
+
 TEST_F(StoreClientTest, EachRefusalIsAnErrorOfItsOwn)
 {
     const std::vector<std::pair<int, Code>> expected{{404, Code::NotFound},
