--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -30,6 +30,9 @@
     GateOptions gate;
     std::chrono::milliseconds tickPeriod{100}; ///< Of the check for timeouts and due reports.
     std::chrono::milliseconds reportPeriod{200}; ///< To a balancer whose Hello has not come yet.
+    std::chrono::milliseconds flowListPeriod{2000}; ///< Between two lists of the server's flows.
+    /// Without a Hello, after which a balancer does not get the lists: three periods of Hellos in a zone.
+    std::chrono::milliseconds keeperTimeout{3000};
     std::chrono::milliseconds balancerTimeout{
         10'000}; ///< Without a Hello, after which reports to a balancer end.
     std::chrono::milliseconds probeTimeout{250}; ///< Of the connection that probes a suspect server.
@@ -93,6 +96,9 @@
     void sendReports();
     /// Sends the current report to the balancers whose period has passed.
     void sendDueReports(TimePoint now);
+    /// Sends the list of the server's flows to the balancer that keeps the zone's flows: the one with the
+    /// lowest address, of the own zone if there is one.
+    void sendFlowList(TimePoint now);
     /// Reports at once if the server has begun or ceased to fail.
     void reportFailing(TimePoint now);
     void tick();
@@ -107,6 +113,7 @@
         TimePoint lastHelloAt{}; ///< When its last Hello arrived, or when it was added.
         TimePoint lastReportAt{}; ///< When a report was sent to it last.
         std::chrono::milliseconds reportPeriod{0}; ///< As its last Hello stated.
+        ZoneId zone; ///< As its last Hello stated; unset before the first.
     };
 
     asio::io_context &m_context;
@@ -120,6 +127,7 @@
     std::unique_ptr<Probe> m_probe;
     std::unordered_map<IpAddress, Balancer, AddressHash> m_balancers;
     TimePoint m_now{}; ///< Time of the current datagram batch; unset between batches.
+    TimePoint m_lastFlowList{};
     bool m_wasFailing = false; ///< As the last reports to all balancers stated.
     TimePoint m_lastProbe{};
     std::uint64_t m_loggedLostDatagrams = 0; ///< Lost datagrams that the log has stated.
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -22,6 +22,7 @@
     Report = 4, ///< Agent to balancer: state and load of the server.
     NoteQuery = 5, ///< Balancer to agent: a caller's packet; queries the holder of its flow.
     Note = 6, ///< Balancer to agent: a flow's holder; the number is the holder's IPv4 address.
+    FlowList = 7, ///< Agent to balancer: flows of the server, see `flow-registry.h`; the number is its start.
 };
 
 /// Why an agent returns a packet.
@@ -65,6 +66,7 @@
     bool unlisted = false; ///< The agent has no entry in the platform's store.
     /// The agent answers at once with a report that names all flows of its server.
     bool wantsFlows = false;
+    ZoneId zone; ///< Availability zone of the balancer.
     std::chrono::milliseconds reportPeriod{200}; ///< Between two reports to this balancer.
 
     bool operator==(const Hello &) const = default;
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "oriolelever/flow-registry.h"
 #include "oriolelever/opening-queue.h"
 #include "oriolelever/peer-message.h"
 #include "oriolelever/segment.h"
@@ -226,6 +227,10 @@
 /// Removes flows that were idle for longer than callers and servers keep them, and expired notes.
 void expireEntries(GateState &state, TimePoint now);
 
+/// Returns the established flows of the server for a balancer that keeps them, those used last first; none
+/// while the agent does not know its server, or may not know most of its flows yet.
+std::optional<ServerFlows> listFlows(const GateState &state, TimePoint now);
+
 /// The report for balancers. `lifetime` identifies the agent's start. Names the server's flows if `withFlows`
 /// and the agent knows all of them.
 Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows);
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "oriolelever/event-log.h"
+#include "oriolelever/flow-registry.h"
 #include "oriolelever/kernel.h"
 #include "oriolelever/metrics.h"
 #include "oriolelever/packet-port.h"
@@ -73,6 +75,12 @@
     /// Sets the hosts of all agents that have an entry in the platform's store; replaces the previous ones.
     void setListedAgents(const std::vector<IpAddress> &hosts);
 
+    /// Adds the flows of a snapshot for servers that no agent has listed flows for, and resets the callers of
+    /// those whose server has restarted since.
+    void restoreFlows(const std::string &snapshot);
+    /// Returns a snapshot of the flows that agents have listed, if they have changed since the last call.
+    std::optional<std::string> changedSnapshot();
+
     /// Whether the balancer can serve callers' packets and is not draining.
     bool isReady() const;
 
@@ -90,6 +98,9 @@
     void handleAgentMessage(std::span<std::uint8_t> bytes, const Endpoint &from);
     void handleReport(std::span<std::uint8_t> bytes, const Endpoint &from);
     void handleReturnedPacket(std::span<std::uint8_t> bytes, const PeerHeader &header, const Endpoint &from);
+    void handleFlowList(std::span<std::uint8_t> bytes, const Endpoint &from);
+    /// Resets the callers of flows on `host` that belong to an earlier start of its server.
+    void resetEndedFlows(const IpAddress &host, std::uint64_t bornAt, TimePoint now);
     void sendNotes(const FlowKey &flow, const IpAddress &holder);
     /// Sends, resets or drops the packet; `bytes` has `peerHeaderSize` free bytes before it.
     void applyDecision(const SteeringDecision &decision, const Segment &segment,
@@ -119,6 +130,8 @@
     std::uint64_t m_loggedLostDatagrams = 0; ///< Lost datagrams that were logged already.
     TimePoint m_lastExpiryAt{}; ///< When idle flows were last expired.
     TimePoint m_drainStartedAt{};
+    FlowRegistry m_registry; ///< Flows that agents have listed, or a snapshot.
+    bool m_hasRegistryChanged = false; ///< Agents have listed other flows since the last snapshot.
     bool m_hasEvacuations = false; ///< The evacuated zones were set at least once.
     bool m_isDraining = false;
 };
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -336,6 +336,7 @@
     balancer.lifetime = hello.lifetime;
     balancer.lastHelloAt = m_now;
     balancer.reportPeriod = hello.reportPeriod;
+    balancer.zone = hello.zone;
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
     if (isNew) {
@@ -465,6 +466,10 @@
     }
     reportFailing(now);
     sendDueReports(now);
+    if (now - m_lastFlowList >= m_options.flowListPeriod) {
+        m_lastFlowList = now;
+        sendFlowList(now);
+    }
     if (now - m_lastExpiry > expiryPeriod) {
         m_lastExpiry = now;
         expireEntries(m_state, now);
@@ -491,6 +496,30 @@
     sendReports();
 }
 
+void GateNode::sendFlowList(TimePoint now)
+{
+    const IpAddress *keeper = nullptr;
+    bool isKeeperNear = false;
+    for (const auto &[address, balancer] : m_balancers) {
+        if (balancer.lifetime == 0 || now - balancer.lastHelloAt > m_options.keeperTimeout) {
+            continue;
+        }
+        const bool isNear = balancer.zone == m_options.gate.zone;
+        if (keeper == nullptr || isNear > isKeeperNear || (isNear == isKeeperNear && address < *keeper)) {
+            keeper = &address;
+            isKeeperNear = isNear;
+        }
+    }
+    const auto list = keeper == nullptr ? std::nullopt : listFlows(m_state, now);
+    if (!list) {
+        return;
+    }
+    std::array<std::uint8_t, maxFlowListSize> message{};
+    const auto size = encodeFlowList(message, *list);
+    m_relay.send({message.data(), size}, {*keeper, m_options.balancerPort});
+    m_relay.flush();
+}
+
 void GateNode::scheduleTick()
 {
     m_timer.expires_after(m_options.tickPeriod);
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint8_t messageVersion = 2;
-constexpr std::size_t helloSize = peerHeaderSize + 11; // Bytes, as all sizes here.
+constexpr std::size_t helloSize = peerHeaderSize + 19; // Bytes, as all sizes here.
 constexpr std::size_t reportSize = peerHeaderSize + 40;
 constexpr std::size_t filterSize = FlowFilter::wordCount * sizeof(std::uint64_t);
 constexpr std::uint8_t mayReturnBusyFlag = 1; // In the flags of the header: `PeerHeader::mayReturnBusy`.
@@ -99,7 +99,7 @@
         return false;
     }
     if (bytes[1] < static_cast<std::uint8_t>(PeerMessageType::Relay)
-        || bytes[1] > static_cast<std::uint8_t>(PeerMessageType::Note)) {
+        || bytes[1] > static_cast<std::uint8_t>(PeerMessageType::FlowList)) {
         return false;
     }
     out.type = static_cast<PeerMessageType>(bytes[1]);
@@ -157,6 +157,7 @@
     write32(body + 5, clampedMilliseconds(hello.idleLimit));
     write16(body + 9,
             static_cast<std::uint16_t>(std::clamp<std::int64_t>(hello.reportPeriod.count(), 0, UINT16_MAX)));
+    write64(body + 11, hello.zone.value);
     return helloSize;
 }
 
@@ -174,6 +175,7 @@
     out.wantsFlows = (body[0] & wantsFlowsFlag) != 0;
     out.idleLimit = std::chrono::milliseconds(read32(body + 5));
     out.reportPeriod = std::chrono::milliseconds(read16(body + 9));
+    out.zone.value = read64(body + 11);
     return true;
 }
 
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -102,6 +102,12 @@
                                                 : state.options.service;
 }
 
+std::chrono::milliseconds effectiveIdleTimeout(const GateState &state)
+{
+    return state.idleTimeout > std::chrono::milliseconds::zero() ? state.idleTimeout
+                                                                 : state.options.defaultIdleTimeout;
+}
+
 // Whether a copy of the opening packet has been delivered, and the flow has not ended since.
 bool isOpening(const GateState &state, const FlowKey &key)
 {
@@ -471,9 +477,6 @@
     std::erase_if(state.notes, [&](const auto &entry) {
         return now - entry.second.recordedAt > state.options.noteRetention;
     });
-    const auto effectiveIdleTimeout = state.idleTimeout > std::chrono::milliseconds::zero()
-        ? state.idleTimeout
-        : state.options.defaultIdleTimeout;
     for (auto &[key, flow] : state.flows) {
         if (flow.requestUnanswered && now - flow.requestStartedAt > state.options.maxRequestTime) {
             setRequestUnanswered(state, flow, false);
@@ -482,7 +485,8 @@
     std::erase_if(state.flows, [&](const auto &entry) {
         const auto &flow = entry.second;
         // Twice the timeout, as the server may keep an idle flow for longer than required.
-        const auto retention = flow.ended ? state.options.endedFlowRetention : 2 * effectiveIdleTimeout;
+        const auto retention
+            = flow.ended ? state.options.endedFlowRetention : 2 * effectiveIdleTimeout(state);
         const bool expired = now - flow.lastPacketAt > retention;
         state.waitingFlows -= expired && flow.requestUnanswered ? 1 : 0;
         state.endedFlows -= expired && flow.ended ? 1 : 0;
@@ -491,6 +495,33 @@
     });
 }
 
+std::optional<ServerFlows> listFlows(const GateState &state, TimePoint now)
+{
+    const bool hasServer = state.lastHeartbeatAt != TimePoint{}
+        && (state.serverState == BackendState::Ready || state.serverState == BackendState::Draining);
+    // The flows that were idle when the agent started have sent a packet or ended by then.
+    const bool knowsMostFlows
+        = state.hasSeenServerStart || now - state.agentStartedAt > effectiveIdleTimeout(state);
+    if (!hasServer || !knowsMostFlows) {
+        return {};
+    }
+    std::vector<std::pair<TimePoint, FlowReset>> flows;
+    for (const auto &[key, flow] : state.flows) {
+        if (flow.ended || flow.halfOpen || flow.openingUnanswered || flow.callerClosed) {
+            continue;
+        }
+        flows.push_back({flow.lastPacketAt, {.flow = key, .sequence = flow.lastCallerAcknowledgement}});
+    }
+    const auto count = std::min(flows.size(), maxListedFlows);
+    std::partial_sort(flows.begin(), flows.begin() + static_cast<std::ptrdiff_t>(count), flows.end(),
+                      [](const auto &a, const auto &b) { return a.first > b.first; });
+    ServerFlows list{.bornAt = state.lastHeartbeat.startTimeMs};
+    for (std::size_t i = 0; i < count; ++i) {
+        list.flows.push_back(flows[i].second);
+    }
+    return list;
+}
+
 Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows)
 {
     const bool hasHeartbeat = state.lastHeartbeatAt != TimePoint{};
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -288,6 +288,8 @@
     }
     if (header.type == PeerMessageType::Report) {
         handleReport(bytes, from);
+    } else if (header.type == PeerMessageType::FlowList) {
+        handleFlowList(bytes, from);
     } else if (header.type == PeerMessageType::Return) {
         handleReturnedPacket(bytes.subspan(peerHeaderSize), header, from);
     }
@@ -315,6 +317,58 @@
     if (previous.lifetime != report.lifetime) {
         sendHello(index);
     }
+    resetEndedFlows(from.address, report.bornAt, m_now);
+}
+
+void SteeringNode::handleFlowList(std::span<std::uint8_t> bytes, const Endpoint &from)
+{
+    ServerFlows list;
+    if (!decodeFlowList(bytes, list)) {
+        m_counters->malformedDatagrams.Increment();
+        return;
+    }
+    resetEndedFlows(from.address, list.bornAt, m_now);
+    m_hasRegistryChanged |= applyFlowList(m_registry, from.address, std::move(list), m_now);
+}
+
+void SteeringNode::resetEndedFlows(const IpAddress &host, std::uint64_t bornAt, TimePoint now)
+{
+    const auto resets = takeEndedFlows(m_registry, host, bornAt, now);
+    for (const auto &reset : resets) {
+        sendReset(m_agentSocket, m_options.format, reset, m_options.callerPort);
+    }
+    if (!resets.empty()) {
+        m_log.write(now, "flows_reset", "cause", "server_restarted", "server", toString(host), "flows",
+                    resets.size(), "born_at", bornAt);
+    }
+}
+
+void SteeringNode::restoreFlows(const std::string &snapshot)
+{
+    const auto now = steadyNow();
+    FlowRegistry restored;
+    const auto outcome = decodeSnapshot(snapshot, unixTimeNow(), restored);
+    m_log.write(now, "flows_restored", "outcome", toString(outcome), "servers", restored.size(), "size",
+                snapshot.size());
+    for (auto &[host, server] : restored) {
+        server.listedAt = now;
+        if (!m_registry.try_emplace(host, std::move(server)).second) {
+            continue;
+        }
+        const auto known = m_state.backendByHost.find(host);
+        if (known != m_state.backendByHost.end()) {
+            resetEndedFlows(host, m_state.backends[known->second].report.bornAt, now);
+        }
+    }
+    m_agentSocket.flush();
+}
+
+std::optional<std::string> SteeringNode::changedSnapshot()
+{
+    if (!std::exchange(m_hasRegistryChanged, false)) {
+        return {};
+    }
+    return encodeSnapshot(m_registry, unixTimeNow());
 }
 
 void SteeringNode::handleReturnedPacket(std::span<std::uint8_t> bytes, const PeerHeader &header,
@@ -354,6 +408,7 @@
         .idleLimit = m_state.table.idleLimit,
         .unlisted = backend.isEntryMissing,
         .wantsFlows = needsFlowFilters(m_state, now),
+        .zone = m_state.options.zone,
         .reportPeriod = backend.reportPeriod,
     };
     std::array<std::uint8_t, maxPeerMessageSize> bytes{};
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -23,6 +23,7 @@
                       .idleLimit = std::chrono::milliseconds(15'000),
                       .unlisted = true,
                       .wantsFlows = true,
+                      .zone = idOf<ZoneId>("bergamo"),
                       .reportPeriod = std::chrono::milliseconds(1000)};
     const auto size = encodeHello(buffer, hello);
     Hello decoded;
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -564,5 +564,33 @@
     }
 }
 
+TEST_F(ServerGateTest, EstablishedFlowsAreListedWithTheirStart)
+{
+    EXPECT_FALSE(listFlows(state, now)) << "no server is known";
+    apply(makeHeartbeat(1));
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        admitOpening(port);
+        acceptOpening(port);
+        now += milliseconds(1);
+        if (port != 2) {
+            admitData(port);
+        }
+    }
+    const auto list = listFlows(state, now);
+    ASSERT_TRUE(list);
+    EXPECT_EQ(list->bornAt, makeHeartbeat(1).startTimeMs);
+    ASSERT_EQ(list->flows.size(), 2U) << "without the one that its caller has not acknowledged";
+    EXPECT_EQ(list->flows[0].flow, flowFromCaller(callerPacket(false, 3))) << "used last";
+    EXPECT_EQ(list->flows[0].sequence, callerPacket(false, 3).acknowledgement);
+}
+
+TEST_F(ServerGateTest, ARestartedAgentListsFlowsOnceItKnowsThoseInUse)
+{
+    makeReady();
+    EXPECT_FALSE(listFlows(state, now)) << "a list of few flows would replace the complete one";
+    now += state.options.defaultIdleTimeout + milliseconds(1);
+    EXPECT_TRUE(listFlows(state, now));
+}
+
 } // namespace
 } // namespace oriolelever
