Longer watches where many balancers tell each other of changes

Ruled out: one watcher a zone (somebody would have to be elected and missed). Change: balancers state in each Hello at which revisions configuration and evacuations changed last, agents report the highest; a balancer that has not seen the store since lists at once. A watch may wait 350 ms for each balancer that agents hear, from 4 to 20 s, and up to a quarter less, so that on average one ends each 350 ms. The buffer is larger now, and the sizes are checked when compiling.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -92,6 +92,8 @@
     void returnOpening(const QueuedOpening &opening, ReturnReason reason, TimePoint now);
     /// Sends resets to the callers of all flows, as their server has ended. `cause` is logged.
     void resetAllFlows(std::string_view cause);
+    /// Returns the current report.
+    Report currentReport(TimePoint now, bool withFlows);
     /// Sends the current report to all known balancers.
     void sendReports();
     /// Sends the current report to the balancers whose period has passed.
--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -16,7 +16,7 @@
 {
     std::string kind; ///< Kind of the objects.
     /// How long one watch call waits for changes. Bounds how long objects may be stale unnoticed when a watch
-    /// gets no events although its connection is not lost.
+    /// gets no events although its connection is not lost. See `setWatchTimeout`.
     std::chrono::milliseconds watchTimeout{4000};
     std::chrono::milliseconds firstRetryDelay{150}; ///< After the first failed call; see `followerBackoff`.
     /// Below the two seconds in which entries must be restored.
@@ -30,6 +30,16 @@
 std::chrono::milliseconds followerBackoff(const FollowerOptions &options, int failures,
                                           double randomFraction);
 
+/// Returns how long each of `watchers` processes that tell each other of changes should let a watch call
+/// wait. Their calls end at different times, so that one of them notices a failed watch about every
+/// `watchEndPeriod`; the more they are, the longer each may wait.
+std::chrono::milliseconds sharedWatchTimeout(std::size_t watchers);
+
+constexpr std::chrono::milliseconds watchEndPeriod{350};
+constexpr std::chrono::milliseconds minSharedWatchTimeout{4000};
+/// Below the longest wait of the platform's store, 30 s.
+constexpr std::chrono::milliseconds maxSharedWatchTimeout{20'000};
+
 /// Runs until destroyed. Retries a failed watch from the last revision; lists again if the store no longer
 /// has the history since then.
 class ObjectFollower
@@ -51,6 +61,14 @@
 
     /// Starts with a list.
     void start();
+    /// Sets how long the watch calls from now on wait.
+    void setWatchTimeout(std::chrono::milliseconds timeout);
+    /// Revision of the store at which the objects changed last, as far as is known; 0 before the first change
+    /// after the first list.
+    std::uint64_t changeRevision() const;
+    /// Lists the objects if they are known as of an earlier revision only: another process has seen them
+    /// change at this one. The watch goes on. After a failed list, calls have no effect for `maxRetryDelay`.
+    void catchUp(std::uint64_t revision);
     /// Makes a call at once that waits to be retried after a failure, as the store has answered another call.
     void retryNow();
 
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -55,6 +55,20 @@
 
 constexpr std::uint32_t noColdLimit = UINT32_MAX; ///< No rate is configured for cold servers.
 
+/// Revisions of the platform's store at which the operators' documents changed last, as far as is known.
+/// Agents pass on the highest that balancers have told them, so that a balancer whose watch has failed
+/// unnoticed learns of a change.
+struct DocumentRevisions
+{
+    std::uint64_t configuration = 0;
+    std::uint64_t evacuations = 0;
+
+    bool operator==(const DocumentRevisions &) const = default;
+};
+
+/// Takes the higher one of each revision.
+void mergeRevisions(DocumentRevisions &revisions, const DocumentRevisions &others);
+
 /// A balancer's request for reports, with settings for the agent.
 struct Hello
 {
@@ -67,6 +81,7 @@
     /// The agent answers at once with a report that names all flows of its server.
     bool wantsFlows = false;
     ZoneId zone; ///< Availability zone of the balancer.
+    DocumentRevisions documents; ///< That the balancer knows.
     std::chrono::milliseconds reportPeriod{200}; ///< Between two reports to this balancer.
 
     bool operator==(const Hello &) const = default;
@@ -101,6 +116,8 @@
     std::chrono::milliseconds coldLeft{0}; ///< Time until the server is warm; 0 if it is.
     std::uint64_t bornAt = 0; ///< When the server started, Unix time in milliseconds; 0 if unknown.
     bool isFailing = false; ///< The server resets flows instead of answering their requests.
+    std::uint16_t balancers = 0; ///< From which the agent has had a Hello lately.
+    DocumentRevisions documents; ///< The highest of those balancers.
     /// All flows of the server; only in answers to a Hello that asks for them, and absent if the agent does
     /// not know all of them.
     std::optional<FlowFilter> heldFlowFilter;
@@ -110,7 +127,7 @@
 
 constexpr std::size_t peerHeaderSize = 12; ///< Bytes.
 constexpr std::size_t noteSize = peerHeaderSize + 12; ///< Bytes.
-constexpr std::size_t maxPeerMessageSize = 128; ///< Bytes of the largest Hello or Report.
+constexpr std::size_t maxPeerMessageSize = 160; ///< Bytes; at least those of the largest Hello or Report.
 
 /// The header of every message.
 struct PeerHeader
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -2,6 +2,7 @@
 /// the sockets, timers, logs and metrics around the decisions of `steering.h`.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -81,6 +82,12 @@
     /// Returns a snapshot of the flows that agents have listed, if they have changed since the last call.
     std::optional<std::string> changedSnapshot();
 
+    /// Returns the revisions of the operators' documents that are in force, for the agents. Unset means
+    /// unknown.
+    std::function<DocumentRevisions()> documents;
+    /// Called with each report of an agent.
+    std::function<void(const Report &report)> reported;
+
     /// Whether the balancer can serve callers' packets and is not draining.
     bool isReady() const;
 
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -339,6 +339,7 @@
     balancer.zone = hello.zone;
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
+    mergeRevisions(m_state.documents, hello.documents);
     if (isNew) {
         m_log.write(m_now, "balancer_heard", "balancer", toString(from.address), "balancer_lifetime",
                     hello.lifetime);
@@ -346,7 +347,7 @@
     if (isNew || hello.wantsFlows) {
         balancer.lastReportAt = m_now;
         std::array<std::uint8_t, maxPeerMessageSize> report{};
-        const auto size = encodeReport(report, makeReport(m_state, m_options.lifetime, m_now, true));
+        const auto size = encodeReport(report, currentReport(m_now, true));
         m_relay.sendCopy({report.data(), size}, {from.address, m_options.balancerPort});
     }
     if (hello.unlisted && entryMissing) {
@@ -425,6 +426,13 @@
     sendReports();
 }
 
+Report GateNode::currentReport(TimePoint now, bool withFlows)
+{
+    auto report = makeReport(m_state, m_options.lifetime, now, withFlows);
+    report.balancers = static_cast<std::uint16_t>(std::min<std::size_t>(m_balancers.size(), UINT16_MAX));
+    return report;
+}
+
 void GateNode::sendReports()
 {
     for (auto &[address, balancer] : m_balancers) {
@@ -444,7 +452,7 @@
             continue;
         }
         if (size == 0) {
-            size = encodeReport(report, makeReport(m_state, m_options.lifetime, now, false));
+            size = encodeReport(report, currentReport(now, false));
         }
         balancer.lastReportAt = now;
         m_relay.sendCopy({report.data(), size}, {address, m_options.balancerPort});
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -17,6 +17,12 @@
     return half + std::chrono::milliseconds(jitter);
 }
 
+std::chrono::milliseconds sharedWatchTimeout(std::size_t watchers)
+{
+    const auto timeout = watchEndPeriod * static_cast<std::int64_t>(watchers);
+    return std::clamp<std::chrono::milliseconds>(timeout, minSharedWatchTimeout, maxSharedWatchTimeout);
+}
+
 struct ObjectFollower::State : std::enable_shared_from_this<State>
 {
     State(asio::io_context &context, ObjectApi &objectApi, FollowerOptions followerOptions,
@@ -41,19 +47,48 @@
             }
             self->handleSuccess();
             self->hasListed = true;
-            self->objects.clear();
-            for (const auto &object : answer.value().objects) {
-                self->objects.insert_or_assign(object.name, object);
-            }
-            self->revision = answer.value().revision;
-            self->events.changed(self->objects);
+            self->applyList(answer.value());
             self->watch();
         });
     }
 
+    void applyList(const ObjectList &list)
+    {
+        objects.clear();
+        for (const auto &object : list.objects) {
+            objects.insert_or_assign(object.name, object);
+        }
+        revision = list.revision;
+        events.changed(objects);
+    }
+
+    void catchUp(std::uint64_t laterRevision)
+    {
+        if (!hasListed || isCatchingUp || laterRevision <= revision
+            || std::chrono::steady_clock::now() < catchUpNotBefore) {
+            return;
+        }
+        isCatchingUp = true;
+        api.list(options.kind, [self = shared_from_this(), laterRevision](const Answer<ObjectList> &answer) {
+            self->isCatchingUp = false;
+            if (!answer) {
+                self->catchUpNotBefore = std::chrono::steady_clock::now() + self->options.maxRetryDelay;
+            }
+            if (self->isStopped || !answer || answer.value().revision <= self->revision) {
+                return;
+            }
+            self->changeRevision = std::max(self->changeRevision, laterRevision);
+            self->applyList(answer.value());
+        });
+    }
+
     void watch()
     {
-        api.watch({options.kind}, revision, options.watchTimeout,
+        // Processes that started together do not let their watches end together.
+        const auto shortest = options.watchTimeout * 3 / 4;
+        const std::chrono::milliseconds timeout(std::uniform_int_distribution<std::int64_t>(
+            shortest.count(), options.watchTimeout.count())(random));
+        api.watch({options.kind}, revision, timeout,
                   [self = shared_from_this()](const Answer<WatchBatch> &answer) {
                       if (self->isStopped) {
                           return;
@@ -82,6 +117,7 @@
         }
         revision = batch.revision;
         if (!batch.events.empty()) {
+            changeRevision = revision;
             events.changed(objects);
         }
         watch();
@@ -134,6 +170,9 @@
     std::minstd_rand random;
     Objects objects;
     std::uint64_t revision = 0; // Of the store, at the last list or watch.
+    std::uint64_t changeRevision = 0; // Of the store, when the objects last changed.
+    bool isCatchingUp = false;
+    std::chrono::steady_clock::time_point catchUpNotBefore{};
     int failures = 0; // Consecutive failed calls.
     void (State::*pendingRetry)() = nullptr; // Call that waits to be made again.
     bool hasListed = false;
@@ -152,6 +191,21 @@
     m_state->timer.cancel();
 }
 
+void ObjectFollower::setWatchTimeout(std::chrono::milliseconds timeout)
+{
+    m_state->options.watchTimeout = timeout;
+}
+
+std::uint64_t ObjectFollower::changeRevision() const
+{
+    return m_state->changeRevision;
+}
+
+void ObjectFollower::catchUp(std::uint64_t revision)
+{
+    m_state->catchUp(revision);
+}
+
 void ObjectFollower::retryNow()
 {
     m_state->retryNow();
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -9,14 +9,15 @@
 namespace {
 
 constexpr std::uint8_t messageVersion = 2;
-constexpr std::size_t helloSize = peerHeaderSize + 19; // Bytes, as all sizes here.
-constexpr std::size_t reportSize = peerHeaderSize + 40;
+constexpr std::size_t helloSize = peerHeaderSize + 35; // Bytes, as all sizes here.
+constexpr std::size_t reportSize = peerHeaderSize + 58;
 constexpr std::size_t filterSize = FlowFilter::wordCount * sizeof(std::uint64_t);
+static_assert(reportSize + filterSize <= maxPeerMessageSize && helloSize <= maxPeerMessageSize);
 constexpr std::uint8_t mayReturnBusyFlag = 1; // In the flags of the header: `PeerHeader::mayReturnBusy`.
 // In the first byte of a hello's body.
 constexpr std::uint8_t unlistedFlag = 1;
 constexpr std::uint8_t wantsFlowsFlag = 2;
-constexpr std::uint8_t failingFlag = 1; // In the last byte of a report's body: `Report::isFailing`.
+constexpr std::uint8_t failingFlag = 1; // In the flags of a report's body: `Report::isFailing`.
 
 std::uint32_t clampedMilliseconds(std::chrono::milliseconds time)
 {
@@ -51,6 +52,12 @@
     return all;
 }
 
+void mergeRevisions(DocumentRevisions &revisions, const DocumentRevisions &others)
+{
+    revisions.configuration = std::max(revisions.configuration, others.configuration);
+    revisions.evacuations = std::max(revisions.evacuations, others.evacuations);
+}
+
 std::string_view toString(ReturnReason reason)
 {
     switch (reason) {
@@ -158,6 +165,8 @@
     write16(body + 9,
             static_cast<std::uint16_t>(std::clamp<std::int64_t>(hello.reportPeriod.count(), 0, UINT16_MAX)));
     write64(body + 11, hello.zone.value);
+    write64(body + 19, hello.documents.configuration);
+    write64(body + 27, hello.documents.evacuations);
     return helloSize;
 }
 
@@ -176,6 +185,7 @@
     out.idleLimit = std::chrono::milliseconds(read32(body + 5));
     out.reportPeriod = std::chrono::milliseconds(read16(body + 9));
     out.zone.value = read64(body + 11);
+    out.documents = {.configuration = read64(body + 19), .evacuations = read64(body + 27)};
     return true;
 }
 
@@ -192,6 +202,9 @@
     write32(body + 27, clampedMilliseconds(report.coldLeft));
     write64(body + 31, report.bornAt);
     body[39] = report.isFailing ? failingFlag : 0;
+    write16(body + 40, report.balancers);
+    write64(body + 42, report.documents.configuration);
+    write64(body + 50, report.documents.evacuations);
     if (!report.heldFlowFilter) {
         return reportSize;
     }
@@ -224,6 +237,8 @@
     out.coldLeft = std::chrono::milliseconds(read32(body + 27));
     out.bornAt = read64(body + 31);
     out.isFailing = (body[39] & failingFlag) != 0;
+    out.balancers = read16(body + 40);
+    out.documents = {.configuration = read64(body + 42), .evacuations = read64(body + 50)};
     out.heldFlowFilter.reset();
     if (bytes.size() > reportSize) {
         body = bytes.data() + reportSize;
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -547,6 +547,7 @@
         .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
         .bornAt = state.lastHeartbeat.startTimeMs,
         .isFailing = isFailing(state, now),
+        .documents = state.documents,
         .heldFlowFilter = heldFlowFilter,
     };
 }
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -318,6 +318,9 @@
         sendHello(index);
     }
     resetEndedFlows(from.address, report.bornAt, m_now);
+    if (reported) {
+        reported(report);
+    }
 }
 
 void SteeringNode::handleFlowList(std::span<std::uint8_t> bytes, const Endpoint &from)
@@ -409,6 +412,7 @@
         .unlisted = backend.isEntryMissing,
         .wantsFlows = needsFlowFilters(m_state, now),
         .zone = m_state.options.zone,
+        .documents = documents ? documents() : DocumentRevisions{},
         .reportPeriod = backend.reportPeriod,
     };
     std::array<std::uint8_t, maxPeerMessageSize> bytes{};
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -24,6 +24,7 @@
                       .unlisted = true,
                       .wantsFlows = true,
                       .zone = idOf<ZoneId>("bergamo"),
+                      .documents = {.configuration = 70'000'000'000, .evacuations = 12},
                       .reportPeriod = std::chrono::milliseconds(1000)};
     const auto size = encodeHello(buffer, hello);
     Hello decoded;
@@ -43,7 +44,9 @@
                         .waiting = 3,
                         .coldLeft = std::chrono::milliseconds(1900),
                         .bornAt = 1'700'000'000'000,
-                        .isFailing = true};
+                        .isFailing = true,
+                        .balancers = 59,
+                        .documents = {.configuration = 7, .evacuations = 80'000'000'000}};
     const auto size = encodeReport(buffer, report);
     Report decoded;
     ASSERT_TRUE(decodeReport({buffer.data(), size}, decoded));
--- a/test/presence-test.cc
+++ b/test/presence-test.cc
@@ -99,5 +99,77 @@
     EXPECT_EQ(changes, 1) << "nothing was waiting for a retry";
 }
 
+// A watch whose answers get lost without an error.
+class DeafObjectApi : public FakeObjectApi
+{
+public:
+    using FakeObjectApi::FakeObjectApi;
+
+    void watch(std::vector<std::string>, std::uint64_t, std::chrono::milliseconds, Done<WatchBatch>) override
+    {
+        ++watches;
+    }
+
+    void list(std::string kind, Done<ObjectList> done) override
+    {
+        ++lists;
+        FakeObjectApi::list(std::move(kind), std::move(done));
+    }
+
+    int lists = 0;
+};
+
+TEST(ObjectFollowerTest, AChangeThatAnotherProcessHasSeenIsListedWhenTheWatchIsDeaf)
+{
+    asio::io_context context;
+    DeafObjectApi api(context);
+    api.put("config", "main", R"({"Version":1})");
+    std::uint64_t seen = 0;
+    ObjectFollower follower(context, api, {.kind = "config"},
+                            {.changed = [&](const auto &objects) { seen = objects.at("main").version; },
+                             .availability =
+                                 [](bool, const std::string &) {
+                                 }});
+    follower.start();
+    runUntil(context, [&] { return seen == 1; });
+    EXPECT_EQ(follower.changeRevision(), 0U) << "a first list is no change";
+    follower.catchUp(api.revision);
+    EXPECT_EQ(api.lists, 1) << "nothing has changed since the list";
+    api.put("config", "main", R"({"Version":2})");
+    follower.catchUp(api.revision);
+    follower.catchUp(api.revision);
+    runUntil(context, [&] { return seen == 2; });
+    EXPECT_EQ(api.lists, 2);
+    EXPECT_EQ(follower.changeRevision(), api.revision);
+    EXPECT_EQ(api.watches, 1U) << "the watch goes on";
+}
+
+TEST(ObjectFollowerTest, AFailedCatchUpIsNotRepeatedAtOnce)
+{
+    asio::io_context context;
+    DeafObjectApi api(context);
+    int changes = 0;
+    ObjectFollower follower(context, api, {.kind = "config"},
+                            {.changed = [&](const auto &) { ++changes; },
+                             .availability =
+                                 [](bool, const std::string &) {
+                                 }});
+    follower.start();
+    runUntil(context, [&] { return changes == 1; });
+    api.down = true;
+    follower.catchUp(api.revision + 1);
+    context.poll();
+    follower.catchUp(api.revision + 1);
+    EXPECT_EQ(api.lists, 2);
+}
+
+TEST(ObjectFollowerTest, TheMoreWatchersTheLongerTheyWait)
+{
+    EXPECT_EQ(sharedWatchTimeout(0), minSharedWatchTimeout);
+    EXPECT_EQ(sharedWatchTimeout(4), minSharedWatchTimeout);
+    EXPECT_EQ(sharedWatchTimeout(24), milliseconds(8400));
+    EXPECT_EQ(sharedWatchTimeout(11'000), maxSharedWatchTimeout);
+}
+
 } // namespace
 } // namespace oriolelever
