Lists of flows conclude searches, also where there is no server

Cause: a list of flows counted for 400 ms. Agents without a server named nothing and were offered it too. Ruled out: agents without a list because they had restarted (all had started with their servers). Change: a list that came after the search started counts as long as the search lasts, as flows never move. An agent that has had no server since its start names an empty list.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -37,7 +37,8 @@
     /// Requests per slot at which the own zone's servers are loaded on average, so that other zones' servers
     /// may be needed.
     double loadedRequestsPerSlot = 0.75;
-    /// Age up to which an agent's list of flows rules out a flow for which it is not offered the packet.
+    /// Age up to which an agent's list of flows from before a search keeps the agent from being offered the
+    /// packet.
     std::chrono::milliseconds flowFilterLifetime{400};
     /// How long a new agent's first report is awaited: two report periods.
     std::chrono::milliseconds firstReportWait{400};
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -74,13 +74,18 @@
         && serverStartTime > state.agentStartTimeOfDay - state.options.minAgentDowntime;
 }
 
+// Whether no server has shown itself since the agent's start.
+bool isServerAbsent(const GateState &state, TimePoint now)
+{
+    return state.lastHeartbeatAt == TimePoint{}
+    && now - state.agentStartedAt > state.options.heartbeatTimeout;
+}
+
 // True if the server holds no flow that is missing in `flows`: the agent has seen all of them, or there is no
 // server.
 bool knowsAllFlows(const GateState &state, TimePoint now)
 {
-    const bool isServerAbsent
-        = state.lastHeartbeatAt == TimePoint{} && now - state.agentStartedAt > state.options.heartbeatTimeout;
-    return state.hasSeenServerStart || isServerAbsent || state.serverState == BackendState::Gone
+    return state.hasSeenServerStart || isServerAbsent(state, now) || state.serverState == BackendState::Gone
         || state.serverState == BackendState::Silent;
 }
 
@@ -525,10 +530,8 @@
 Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows)
 {
     const bool hasHeartbeat = state.lastHeartbeatAt != TimePoint{};
-    const bool holdsFlows
-        = state.serverState == BackendState::Ready || state.serverState == BackendState::Draining;
     std::optional<FlowFilter> heldFlowFilter;
-    if (withFlows && state.hasSeenServerStart && holdsFlows) {
+    if (withFlows && (state.hasSeenServerStart || isServerAbsent(state, now))) {
         heldFlowFilter.emplace();
         for (const auto &[key, flow] : state.flows) {
             heldFlowFilter->add(hashFlow(key));
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -227,10 +227,21 @@
     return forward(SteeringCause::Moved, flow.holder, service);
 }
 
-// Whether the agent has lately named all flows of its server, and this one is not among them.
-bool excludesFlow(const SteeringState &state, const Backend &backend, std::uint64_t flowHash, TimePoint now)
+// Whether the agent has sent its list of flows after the search for this flow started. A server that did not
+// hold the flow then will not get it later: flows never move.
+bool isFilterConclusive(const Backend &backend, const SteeredFlow &flow)
 {
-    return backend.heldFlowFilter && now - backend.heldFlowFilterAt < state.options.flowFilterLifetime
+    return backend.heldFlowFilter && backend.heldFlowFilterAt > flow.searchStartedAt + maxReportTransit;
+}
+
+// Whether the agent has named all flows of its server lately or since the search started, and this one is not
+// among them.
+bool excludesFlow(const SteeringState &state, const Backend &backend, const SteeredFlow &flow,
+                  std::uint64_t flowHash, TimePoint now)
+{
+    return backend.heldFlowFilter
+        && (isFilterConclusive(backend, flow)
+            || now - backend.heldFlowFilterAt < state.options.flowFilterLifetime)
         && !backend.heldFlowFilter->mayContain(flowHash);
 }
 
@@ -250,7 +261,7 @@
         const auto &backend = state.backends[i];
         if (!isReachable(state, backend, now) || backend.report.state == BackendState::Gone
             || contains(flow.rejectedBy, index) || contains(flow.unresponsive, index)
-            || excludesFlow(state, backend, flowHash, now)) {
+            || excludesFlow(state, backend, flow, flowHash, now)) {
             continue;
         }
         const int zoneRank = backend.report.zone == state.options.zone ? 0 : 1;
@@ -286,9 +297,9 @@
             const auto limit
                 = hasReported ? state.options.restartTimeout : state.options.neverReportedTimeout;
             undecidedAgents.unreachable += now - since < limit ? 1 : 0;
-        } else if (!excludesFlow(state, backend, flowHash, now)) {
+        } else if (!excludesFlow(state, backend, flow, flowHash, now)) {
             ++undecidedAgents.notOffered;
-        } else if (backend.heldFlowFilterAt <= flow.searchStartedAt + maxReportTransit) {
+        } else if (!isFilterConclusive(backend, flow)) {
             ++undecidedAgents.staleReports;
         }
     }
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -429,6 +429,13 @@
         << "only on request, as it enlarges the report";
 }
 
+TEST_F(ServerGateTest, AnAgentWithoutAServerReportsThatItHoldsNoFlow)
+{
+    EXPECT_FALSE(makeReport(state, 1, now, true).heldFlowFilter) << "a server may show itself";
+    now += state.options.heartbeatTimeout + milliseconds(1);
+    EXPECT_EQ(makeReport(state, 1, now, true).heldFlowFilter, FlowFilter{});
+}
+
 TEST_F(ServerGateTest, ARestartedAgentDoesNotReportAllFlows)
 {
     makeReady();
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -730,6 +730,23 @@
     EXPECT_EQ(resolveSearches(state, now).size(), 1U);
 }
 
+TEST_F(LostServersTest, AnAgentThatHasAnsweredASearchIsNotOfferedItsPacketLater)
+{
+    listAgents({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+    now += milliseconds(100);
+    reportAll();
+    EXPECT_EQ(answerNoteQueries(1, data(1)).cause, SteeringCause::NotReady) << "one agent is unknown so far";
+    now += state.options.firstReportWait;
+    reportAll();
+    EXPECT_EQ(answerNoteQueries(1, data(1)).cause, SteeringCause::Undecided);
+    now += state.options.undecidedRetryDelay + state.options.flowFilterLifetime;
+    for (const auto host : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+        report(host, {.state = BackendState::Ready, .slots = 2});
+    }
+    const auto decision = answerNoteQueries(1, data(1));
+    EXPECT_NE(decision.action, SteeringAction::Forward);
+}
+
 TEST_F(LostServersTest, AFlowThatAnAgentMayHoldIsNotReset)
 {
     answerNoteQueries(1, data(1));
