--- a/src/explain.cc
+++ b/src/explain.cc
@@ -40,7 +40,9 @@
                                                           "server_left",
                                                           "server_suspect",
                                                           "server_probed",
+                                                          "server_failing",
                                                           "flows_reset",
+                                                          "flows_restored",
                                                           "started",
                                                           "stopped",
                                                           "draining",
@@ -148,6 +150,20 @@
                               event.node, fieldText(event.fields, "mute"), fieldText(event.fields, "away"));
         } else if (event.event == "server_state" && !ended) {
             explainServerState(explanation, event);
+        } else if (event.event == "flow_queued" && !ended) {
+            explanation.outcome = formatCode(Code::OutcomeUnknown);
+            explanation.cause = fmt::format(
+                "the opening packet waited at {}: its server was busy with {} requests, {} openings "
+                "waited",
+                event.node, fieldText(event.fields, "waiting"), fieldText(event.fields, "queued"));
+        } else if (event.event == "flow_delivered" && !ended) {
+            explanation.outcome = "open";
+            explanation.cause = "no event in the logs ended it";
+        } else if (event.event == "server_failing" && fieldText(event.fields, "failing") == "true"
+                   && !ended) {
+            explanation.outcome = formatCode(Code::OutcomeUnknown);
+            explanation.cause = fmt::format("the server of {} reset {} requests in a row", event.node,
+                                            fieldText(event.fields, "resets"));
         } else if (event.event == "server_suspect" && !ended) {
             explanation.cause = fmt::format("the server of {} did not answer within its timeout", event.node);
         }
