Flows on lost hosts are reset, so that their callers can open others

Cause: packets of a flow went to its holder as long as the balancer remembered it, also to a host without power. Ruled out: 0.7 s, the report timeout (an agent that is restarted as planned reports again after 0.65 s). Change: a known holder whose agent has been unreachable for 1.5 s counts as lost, unless the balancer hears no agent at all.

--- a/src/steering.cc
+++ b/src/steering.cc
@@ -411,6 +411,15 @@
     return backend.report.state == BackendState::Gone && !isReachable(state, backend, now);
 }
 
+// Whether the agent has been unreachable for longer than a restart takes, so that its host has probably lost
+// its power or its network. A balancer that is itself cut off cannot tell.
+bool isHostLost(const SteeringState &state, const Backend &backend, TimePoint now)
+{
+    return !isReachable(state, backend, now)
+        && now - std::max(backend.reportedAt, backend.knownSince) > state.options.restartTimeout
+        && !isIsolated(state, now);
+}
+
 // Forwards a packet to the known holder. An acknowledgement that differs from the first one shows that the
 // caller has had an answer, and so that the holder's server has the flow.
 SteeringDecision forwardToHolder(SteeredFlow &flow, const Segment &segment)
@@ -812,8 +821,11 @@
         state.flows.erase(found);
         return forward(SteeringCause::Known, holder);
     }
+    // The caller of a flow on a lost host would wait until its deadline; after a reset it can open another
+    // one.
     if (flow.holder != noBackend && flow.isHolderKnown
-        && isDecommissioned(state, state.backends[flow.holder], now)) {
+        && (isDecommissioned(state, state.backends[flow.holder], now)
+            || isHostLost(state, state.backends[flow.holder], now))) {
         state.flows.erase(found);
         return reset(SteeringCause::NotHeld);
     }
--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -186,7 +186,9 @@
     lab::HttpCallersFigures callers;
     const auto server = run({.serviceTime = 1ms}, 200, callers);
     EXPECT_EQ(callers.sent, 200U);
-    EXPECT_EQ(callers.answeredWhole, 200U);
+    EXPECT_EQ(callers.answeredWhole, 200U)
+        << "refused " << callers.refusedNotRun << ", unknown " << callers.outcomeUnknown << ", lost "
+        << callers.lost << ", cut " << callers.cut << ", repeated " << callers.repetitions;
     EXPECT_EQ(callers.wrongAnswers, 0U);
     EXPECT_EQ(server.ranTwice, 0U);
     EXPECT_LE(server.mostRunning, 2U);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -925,6 +925,30 @@
     EXPECT_EQ(state.flows.at(flowFromCaller(packet(1, false))).undecidedSearches, 0);
 }
 
+TEST_F(SteeringTest, AFlowOnALostHostIsResetSoThatItsCallerCanOpenAnother)
+{
+    reportThreeReady();
+    const auto holder = open(1).backend;
+    ASSERT_EQ(holder, indexOf("10.0.0.2"));
+    const auto reportOthers = [&] {
+        report("10.0.0.1", {.state = BackendState::Ready, .slots = 2});
+        report("10.0.0.3", {.zone = idOf<ZoneId>("b"), .state = BackendState::Ready, .slots = 2});
+    };
+    now += state.options.restartTimeout;
+    reportOthers();
+    EXPECT_EQ(data(1).action, SteeringAction::Forward) << "the agent may be restarting";
+    now += milliseconds(1);
+    EXPECT_EQ(data(1).cause, SteeringCause::NotHeld);
+}
+
+TEST_F(SteeringTest, ABalancerThatHearsNoAgentResetsNoFlowOfALostHost)
+{
+    reportThreeReady();
+    open(1);
+    now += 2 * state.options.restartTimeout;
+    EXPECT_EQ(data(1).action, SteeringAction::Forward);
+}
+
 TEST_F(SteeringTest, AnotherZonesAgentsReportRarelyWhileTheOwnZoneSuffices)
 {
     const auto reportServers = [&](std::uint32_t waiting) {
