RequestsTest.AnswersComeWhole waits until the agent runs requests with new keys

Cause: the callers' first keys were made before the agent's memory of keys began (setPeers reaches the agent's thread later on a busy machine). The refusals are true. Ruled out: lost or cut answers (all figures are 0).

--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -159,6 +159,22 @@
 class RequestsTest : public testing::Test
 {
 protected:
+    // An agent refuses keys that were made before it could remember them, and goes on to: a caller's repetitions
+    // with such a key do not help. Waits until it runs a request with a new key.
+    static void waitUntilKeysAreProven(const RequestRunner &agent)
+    {
+        std::uint64_t number = 1'000'000;
+        for (int i = 0; i < 400; ++i) {
+            const auto reply
+                = fetch(agent.listenEndpoint(), "/dossier", lab::makeKey(++number), "warm-up");
+            if (reply.status == 200) {
+                return;
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        FAIL() << "the agent answers no request with a new key";
+    }
+
     lab::HttpServerFigures run(const lab::HttpServerOptions &serverOptions, std::uint64_t requests,
                                lab::HttpCallersFigures &callers)
     {
@@ -170,6 +186,7 @@
         RequestRunner agent(lab::loopbackAgentOptions("a", 1, server.endpoint()));
         EXPECT_TRUE(agent.start());
         agent.setPeers({});
+        waitUntilKeysAreProven(agent);
         lab::HttpCallers caller(
             {.targets = {agent.listenEndpoint()}, .concurrency = 4, .requests = requests, .ledger = ledger});
         caller.start();
