--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -227,10 +227,6 @@
 /// nobody, and cannot tell whether a flow's server is alive.
 bool isIsolated(const SteeringState &state, TimePoint now);
 
-/// Adds a flow to the cache whose holder a snapshot names, unless the cache has it. If the server does not
-/// hold the flow any more, its agent returns the packet and a search starts.
-void restoreHolder(SteeringState &state, const FlowKey &flow, const IpAddress &holder, TimePoint now);
-
 /// Handles that the process has not run for a while. The agents' reports of that time are still unread, so
 /// each agent again has `firstReportWait` to report.
 void handleStall(SteeringState &state, TimePoint now);
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -339,7 +339,6 @@
     const auto resets = takeEndedFlows(m_registry, host, bornAt, now);
     for (const auto &reset : resets) {
         sendReset(m_agentSocket, m_options.format, reset, m_options.callerPort);
-        m_state.flows.erase(reset.flow);
     }
     if (!resets.empty()) {
         m_log.write(now, "flows_reset", "cause", "server_restarted", "server", toString(host), "flows",
@@ -356,13 +355,9 @@
                 snapshot.size());
     for (auto &[host, server] : restored) {
         server.listedAt = now;
-        const auto [entry, isNew] = m_registry.try_emplace(host, std::move(server));
-        if (!isNew) {
+        if (!m_registry.try_emplace(host, std::move(server)).second) {
             continue;
         }
-        for (const auto &flow : entry->second.flows) {
-            restoreHolder(m_state, flow.flow, host, now);
-        }
         const auto known = m_state.backendByHost.find(host);
         if (known != m_state.backendByHost.end()) {
             resetEndedFlows(host, m_state.backends[known->second].report.bornAt, now);
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -576,12 +576,6 @@
     });
 }
 
-void restoreHolder(SteeringState &state, const FlowKey &flow, const IpAddress &holder, TimePoint now)
-{
-    const auto index = findOrAddBackend(state, holder, now);
-    state.flows.try_emplace(flow, SteeredFlow{.holder = index, .lastPacketAt = now});
-}
-
 void handleStall(SteeringState &state, TimePoint now)
 {
     for (auto &backend : state.backends) {
