--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -181,6 +181,10 @@
                 if (self->m_connection != connection) {
                     return;
                 }
+                if (error == asio::error::eof && self->endsWithConnection(*connection)) {
+                    self->completeWithAnswer(connection, false);
+                    return;
+                }
                 if (error) {
                     self->handleConnectionLoss();
                     return;
@@ -197,20 +201,8 @@
             return;
         }
         m_answerStarted = true;
-        static const http_parser_settings settings = [] {
-            http_parser_settings callbacks{};
-            callbacks.on_body = [](http_parser *parser, const char *at, std::size_t length) {
-                static_cast<Connection *>(parser->data)->body.append(at, length);
-                return 0;
-            };
-            callbacks.on_message_complete = [](http_parser *parser) {
-                static_cast<Connection *>(parser->data)->isComplete = true;
-                return 0;
-            };
-            return callbacks;
-        }();
         const auto parsedBytes
-            = http_parser_execute(&connection->parser, &settings, connection->input.data(), size);
+            = http_parser_execute(&connection->parser, &parserSettings(), connection->input.data(), size);
         const bool isInvalid = parsedBytes != size || connection->parser.http_errno != HPE_OK
             || connection->body.size() > m_options.maxAnswerBytes;
         if (isInvalid) {
@@ -221,9 +213,14 @@
             read(connection);
             return;
         }
+        completeWithAnswer(connection, http_should_keep_alive(&connection->parser) != 0);
+    }
+
+    void completeWithAnswer(const std::shared_ptr<Connection> &connection, bool keepAlive)
+    {
         HttpAnswer answer{.status = static_cast<int>(connection->parser.status_code),
                           .body = std::move(connection->body)};
-        if (http_should_keep_alive(&connection->parser) != 0) {
+        if (keepAlive) {
             read(connection);
         } else {
             closeConnection();
@@ -231,6 +228,32 @@
         completeCall(std::move(answer));
     }
 
+    static const http_parser_settings &parserSettings()
+    {
+        static const http_parser_settings settings = [] {
+            http_parser_settings callbacks{};
+            callbacks.on_body = [](http_parser *parser, const char *at, std::size_t length) {
+                static_cast<Connection *>(parser->data)->body.append(at, length);
+                return 0;
+            };
+            callbacks.on_message_complete = [](http_parser *parser) {
+                // An interim answer (1xx) precedes the answer.
+                static_cast<Connection *>(parser->data)->isComplete = parser->status_code >= 200;
+                return 0;
+            };
+            return callbacks;
+        }();
+        return settings;
+    }
+
+    // Whether the answer is complete because its body ends with the connection.
+    bool endsWithConnection(Connection &connection) const
+    {
+        return m_busy && m_answerStarted
+            && http_parser_execute(&connection.parser, &parserSettings(), nullptr, 0) == 0
+            && connection.isComplete;
+    }
+
     // Retries the current call once if the server closed the reused connection before answering, or fails it.
     void handleConnectionLoss()
     {
--- a/test/requests-test.cc
+++ b/test/requests-test.cc
@@ -159,14 +159,13 @@
 class RequestsTest : public testing::Test
 {
 protected:
-    // An agent refuses keys that were made before it could remember them, and goes on to: a caller's repetitions
-    // with such a key do not help. Waits until it runs a request with a new key.
+    // An agent refuses keys that were made before it could remember them, and goes on to: a caller's
+    // repetitions with such a key do not help. Waits until it runs a request with a new key.
     static void waitUntilKeysAreProven(const RequestRunner &agent)
     {
         std::uint64_t number = 1'000'000;
         for (int i = 0; i < 400; ++i) {
-            const auto reply
-                = fetch(agent.listenEndpoint(), "/dossier", lab::makeKey(++number), "warm-up");
+            const auto reply = fetch(agent.listenEndpoint(), "/dossier", lab::makeKey(++number), "warm-up");
             if (reply.status == 200) {
                 return;
             }
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -264,8 +264,9 @@
 class DisconnectingServer
 {
 public:
-    explicit DisconnectingServer(asio::io_context &context)
+    explicit DisconnectingServer(asio::io_context &context, std::string answer = wholeAnswer)
         : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_answer(std::move(answer))
     {
         accept();
     }
@@ -276,8 +277,11 @@
     }
 
     int connections = 0;
+    bool closesAfterAnswer = false; ///< Instead of at the second request.
 
 private:
+    static constexpr const char *wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
     void accept()
     {
         auto socket = std::make_shared<asio::ip::tcp::socket>(m_acceptor.get_executor());
@@ -292,19 +296,23 @@
 
     void serve(const std::shared_ptr<asio::ip::tcp::socket> &socket, bool isFirst)
     {
-        socket->async_read_some(
-            asio::buffer(m_input), [this, socket, isFirst](const asio::error_code &error, auto) {
-                if (error || !isFirst) {
-                    socket->close();
-                    return;
-                }
-                const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
-                asio::write(*socket, asio::buffer(answer));
-                serve(socket, false);
-            });
+        socket->async_read_some(asio::buffer(m_input),
+                                [this, socket, isFirst](const asio::error_code &error, auto) {
+                                    if (error || !isFirst) {
+                                        socket->close();
+                                        return;
+                                    }
+                                    asio::write(*socket, asio::buffer(m_answer));
+                                    if (closesAfterAnswer) {
+                                        socket->close();
+                                        return;
+                                    }
+                                    serve(socket, false);
+                                });
     }
 
     asio::ip::tcp::acceptor m_acceptor;
+    std::string m_answer;
     std::array<char, 4096> m_input{};
 };
 
@@ -327,6 +335,40 @@
     }
 }
 
+// The answer of a server that sends `bytes` to the first request and then closes the connection.
+HttpAnswer answerTo(const std::string &bytes)
+{
+    asio::io_context context;
+    DisconnectingServer server(context, bytes);
+    server.closesAfterAnswer = true;
+    HttpClient client(context, {.server = loopback(server.port())});
+    std::optional<HttpAnswer> answer;
+    client.send({.target = "/", .done = [&](HttpAnswer given) {
+                     answer = std::move(given);
+                 }});
+    runUntil(context, [&] { return answer.has_value(); });
+    return *answer;
+}
+
+TEST(HttpClientTest, AnInterimAnswerIsNotTheAnswer)
+{
+    const auto answer
+        = answerTo("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\n{}");
+    EXPECT_EQ(answer.state, TransferState::Complete);
+    EXPECT_EQ(answer.status, 201);
+    EXPECT_EQ(answer.body, "{}");
+    EXPECT_EQ(answerTo("HTTP/1.1 100 Continue\r\n\r\n").state, TransferState::Lost);
+}
+
+TEST(HttpClientTest, ABodyMayEndWithTheConnection)
+{
+    const auto answer = answerTo("HTTP/1.1 200 OK\r\n\r\n{\"a\":1}");
+    EXPECT_EQ(answer.state, TransferState::Complete);
+    EXPECT_EQ(answer.body, "{\"a\":1}");
+    const auto cut = answerTo("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"a\":1}");
+    EXPECT_EQ(cut.state, TransferState::Lost);
+}
+
 TEST(HttpClientTest, WithoutAServerNothingIsSent)
 {
     asio::io_context context;
