--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -147,7 +147,8 @@
                             .callerPort = relayEndpoint.port,
                             .lifetime = lifetime,
                             .format = format,
-                            .gate = {.service = idOf<ServiceId>(serviceName), .zone = idOf<ZoneId>("a")}},
+                            .gate = {.service = idOf<ServiceId>(serviceName), .zone = idOf<ZoneId>("a")},
+                            .flowListPeriod = milliseconds(20)},
             log, *metrics);
         handleError([&]() -> Result<void> { return agent->open(); },
                     [](const Error &error) { ADD_FAILURE() << error.text; });
@@ -412,6 +413,42 @@
     EXPECT_TRUE(request(4001).rst);
 }
 
+TEST_F(GatePathTest, AnIdleCallerIsToldAfterALossOfAllPower)
+{
+    for (const auto &host : hosts) {
+        host->sendHeartbeat(1, 1500);
+    }
+    openFlow(4001);
+    request(4001);
+    std::optional<std::string> snapshot;
+    runUntil(context, [&] {
+        if (auto changed = balancer->changedSnapshot()) {
+            snapshot = std::move(changed);
+        }
+        FlowRegistry registry;
+        return snapshot && decodeSnapshot(*snapshot, unixTimeNow(), registry) == SnapshotOutcome::Restored
+            && std::any_of(registry.begin(), registry.end(),
+                           [](const auto &entry) { return !entry.second.flows.empty(); });
+    });
+
+    balancer.reset();
+    std::uint64_t nextLifetime = 10;
+    for (const auto &host : hosts) {
+        host->server->flows.clear();
+        host->startAgent(context, linkPort, ++nextLifetime);
+        host->sendHeartbeat(1, 9000);
+    }
+    startBalancer();
+    connectAgents();
+    const auto receivedBefore = received.size();
+    balancer->restoreFlows(*snapshot);
+    runUntil(context, [&] { return received.size() > receivedBefore; });
+    EXPECT_TRUE(received.back().rst);
+    EXPECT_EQ(received.back().source, service);
+    EXPECT_EQ(received.back().destination.port, 4001);
+    EXPECT_EQ(received.back().sequence, 501U) << "what the caller has acknowledged";
+}
+
 TEST_F(GatePathTest, CallersOfADepartedServerGetResets)
 {
     openFlow(4001);
