--- a/include/oriolelever/flow-registry.h
+++ b/include/oriolelever/flow-registry.h
@@ -34,19 +34,30 @@
 /// By the host of the server.
 using FlowRegistry = std::unordered_map<IpAddress, ServerFlows, AddressHash>;
 
-/// Flows of one server that a list of an agent can name; an agent with more lists those used last.
-constexpr std::size_t maxListedFlows = 70;
+/// Flows that one message lists.
+constexpr std::size_t flowsPerPart = 70;
+/// Flows of one server that an agent lists, in eight messages; an agent with more lists those used last.
+constexpr std::size_t maxListedFlows = 8 * flowsPerPart;
 /// Bytes of a `PeerMessageType::FlowList` with as many flows as possible.
 constexpr std::size_t maxFlowListSize = 1200;
 
-/// Writes a message that lists flows, and returns its size. `out` must hold `maxFlowListSize` bytes; flows
-/// beyond `maxListedFlows` are left out.
-std::size_t encodeFlowList(std::span<std::uint8_t> out, const ServerFlows &list);
+/// A message of an agent with some of its server's flows.
+struct FlowListPart
+{
+    std::uint8_t part = 0; ///< Position of the message in the list, from 0.
+    ServerFlows list;
+};
+
+/// Returns the number of messages for a list, at least 1.
+std::size_t flowListParts(const ServerFlows &list);
+/// Writes a message with the flows of `part`, and returns its size. `out` must hold `maxFlowListSize` bytes.
+std::size_t encodeFlowList(std::span<std::uint8_t> out, const ServerFlows &list, std::size_t part);
 /// Returns false if `bytes` is no such message.
-bool decodeFlowList(std::span<const std::uint8_t> bytes, ServerFlows &out);
+bool decodeFlowList(std::span<const std::uint8_t> bytes, FlowListPart &out);
 
-/// Replaces the flows of the server on `host`. Returns whether anything changed.
-bool applyFlowList(FlowRegistry &registry, const IpAddress &host, ServerFlows list, TimePoint now);
+/// Applies a message about the server on `host`: the first part replaces the flows, the others add to them.
+/// Returns whether anything changed.
+bool applyFlowList(FlowRegistry &registry, const IpAddress &host, FlowListPart message, TimePoint now);
 
 /// Returns resets for the callers of the flows on `host` if they belong to another start of the server than
 /// `bornAt`, and removes them. A start time of 0 is unknown and ends nothing. Flows that were listed more
--- a/src/flow-registry.cc
+++ b/src/flow-registry.cc
@@ -18,7 +18,9 @@
 constexpr std::size_t snapshotHeaderSize = 17; // Bytes: version, checksum, Unix time.
 constexpr std::size_t serverHeaderSize = 14; // Bytes: host, start, number of flows.
 
-static_assert(peerHeaderSize + maxListedFlows * flowSize <= maxFlowListSize);
+constexpr std::size_t partHeaderSize = peerHeaderSize + 1; // Bytes: the header and the part's number.
+
+static_assert(partHeaderSize + flowsPerPart * flowSize <= maxFlowListSize);
 
 void writeFlow(std::uint8_t *out, const FlowReset &flow)
 {
@@ -77,34 +79,51 @@
 
 } // namespace
 
-std::size_t encodeFlowList(std::span<std::uint8_t> out, const ServerFlows &list)
+std::size_t flowListParts(const ServerFlows &list)
+{
+    return std::max<std::size_t>(1, (list.flows.size() + flowsPerPart - 1) / flowsPerPart);
+}
+
+std::size_t encodeFlowList(std::span<std::uint8_t> out, const ServerFlows &list, std::size_t part)
 {
     encodePeerHeader(out, {.type = PeerMessageType::FlowList, .number = list.bornAt});
-    const auto count = std::min(list.flows.size(), maxListedFlows);
+    out[peerHeaderSize] = static_cast<std::uint8_t>(part);
+    const auto first = part * flowsPerPart;
+    const auto count = std::min(list.flows.size() - std::min(first, list.flows.size()), flowsPerPart);
     for (std::size_t i = 0; i < count; ++i) {
-        writeFlow(out.data() + peerHeaderSize + i * flowSize, list.flows[i]);
+        writeFlow(out.data() + partHeaderSize + i * flowSize, list.flows[first + i]);
     }
-    return peerHeaderSize + count * flowSize;
+    return partHeaderSize + count * flowSize;
 }
 
-bool decodeFlowList(std::span<const std::uint8_t> bytes, ServerFlows &out)
+bool decodeFlowList(std::span<const std::uint8_t> bytes, FlowListPart &out)
 {
     PeerHeader header;
     if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::FlowList
-        || bytes.size() > maxFlowListSize || (bytes.size() - peerHeaderSize) % flowSize != 0) {
+        || bytes.size() < partHeaderSize || bytes.size() > maxFlowListSize
+        || (bytes.size() - partHeaderSize) % flowSize != 0) {
         return false;
     }
-    out.bornAt = header.number;
-    out.flows.clear();
-    for (auto rest = bytes.subspan(peerHeaderSize); !rest.empty(); rest = rest.subspan(flowSize)) {
-        out.flows.push_back(readFlow(rest.data()));
+    out.part = bytes[peerHeaderSize];
+    out.list = {.bornAt = header.number};
+    for (auto rest = bytes.subspan(partHeaderSize); !rest.empty(); rest = rest.subspan(flowSize)) {
+        out.list.flows.push_back(readFlow(rest.data()));
     }
-    return true;
+    return out.part < maxListedFlows / flowsPerPart;
 }
 
-bool applyFlowList(FlowRegistry &registry, const IpAddress &host, ServerFlows list, TimePoint now)
+bool applyFlowList(FlowRegistry &registry, const IpAddress &host, FlowListPart message, TimePoint now)
 {
     auto &server = registry[host];
+    auto &list = message.list;
+    if (message.part > 0) {
+        // Without its first part, a list of another start of the server cannot be complete.
+        if (server.bornAt != list.bornAt || server.flows.size() + list.flows.size() > maxListedFlows) {
+            return false;
+        }
+        server.flows.insert(server.flows.end(), list.flows.begin(), list.flows.end());
+        return !list.flows.empty();
+    }
     const bool isChanged = server.bornAt != list.bornAt
         || !std::equal(server.flows.begin(), server.flows.end(), list.flows.begin(), list.flows.end(),
                        [](const FlowReset &a, const FlowReset &b) {
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -523,9 +523,11 @@
         return;
     }
     std::array<std::uint8_t, maxFlowListSize> message{};
-    const auto size = encodeFlowList(message, *list);
-    m_relay.send({message.data(), size}, {*keeper, m_options.balancerPort});
-    m_relay.flush();
+    for (std::size_t part = 0; part < flowListParts(*list); ++part) {
+        const auto size = encodeFlowList(message, *list, part);
+        m_relay.send({message.data(), size}, {*keeper, m_options.balancerPort});
+        m_relay.flush();
+    }
 }
 
 void GateNode::scheduleTick()
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -325,13 +325,13 @@
 
 void SteeringNode::handleFlowList(std::span<std::uint8_t> bytes, const Endpoint &from)
 {
-    ServerFlows list;
-    if (!decodeFlowList(bytes, list)) {
+    FlowListPart message;
+    if (!decodeFlowList(bytes, message)) {
         m_counters->malformedDatagrams.Increment();
         return;
     }
-    resetEndedFlows(from.address, list.bornAt, m_now);
-    m_hasRegistryChanged |= applyFlowList(m_registry, from.address, std::move(list), m_now);
+    resetEndedFlows(from.address, message.list.bornAt, m_now);
+    m_hasRegistryChanged |= applyFlowList(m_registry, from.address, std::move(message), m_now);
 }
 
 void SteeringNode::resetEndedFlows(const IpAddress &host, std::uint64_t bornAt, TimePoint now)
--- a/test/flow-registry-test.cc
+++ b/test/flow-registry-test.cc
@@ -37,7 +37,7 @@
         for (const auto port : ports) {
             flows.flows.push_back(flowOf(port));
         }
-        applyFlowList(registry, server, flows, now);
+        applyFlowList(registry, server, {.list = flows}, now);
     }
 
     FlowRegistry registry;
@@ -46,21 +46,37 @@
     TimePoint now{std::chrono::hours(1)};
 };
 
-TEST_F(FlowRegistryTest, AListRoundTrips)
+TEST_F(FlowRegistryTest, ALongListArrivesInParts)
 {
     std::array<std::uint8_t, maxFlowListSize> bytes{};
     ServerFlows list{.bornAt = 77};
-    for (std::uint16_t port = 1; port <= 100; ++port) {
+    for (std::uint16_t port = 1; port <= 150; ++port) {
         list.flows.push_back(flowOf(port));
     }
-    const auto size = encodeFlowList(bytes, list);
-    ServerFlows decoded;
-    ASSERT_TRUE(decodeFlowList({bytes.data(), size}, decoded));
-    EXPECT_EQ(decoded.bornAt, 77U);
-    ASSERT_EQ(decoded.flows.size(), maxListedFlows) << "the first ones";
-    EXPECT_EQ(decoded.flows[4].flow, flowOf(5).flow);
-    EXPECT_EQ(decoded.flows[4].sequence, flowOf(5).sequence);
-    EXPECT_FALSE(decodeFlowList({bytes.data(), size - 1}, decoded)) << "truncated";
+    ASSERT_EQ(flowListParts(list), 3U);
+    for (int round = 0; round < 2; ++round) {
+        for (std::size_t part = 0; part < 3; ++part) {
+            const auto size = encodeFlowList(bytes, list, part);
+            FlowListPart decoded;
+            ASSERT_TRUE(decodeFlowList({bytes.data(), size}, decoded));
+            EXPECT_FALSE(decodeFlowList({bytes.data(), size - 1}, decoded)) << "truncated";
+            ASSERT_TRUE(decodeFlowList({bytes.data(), size}, decoded));
+            EXPECT_EQ(decoded.list.bornAt, 77U);
+            applyFlowList(registry, host, decoded, now);
+        }
+        ASSERT_EQ(registry.at(host).flows.size(), 150U);
+    }
+    EXPECT_EQ(registry.at(host).flows[149].flow, flowOf(150).flow);
+    EXPECT_EQ(registry.at(host).flows[149].sequence, flowOf(150).sequence);
+    EXPECT_EQ(flowListParts({}), 1U) << "an empty list replaces an earlier one";
+}
+
+TEST_F(FlowRegistryTest, APartWithoutTheFirstOfItsListAddsNothing)
+{
+    list(host, 50, {1});
+    FlowListPart later{.part = 1, .list = {.bornAt = 51, .flows = {flowOf(2)}}};
+    EXPECT_FALSE(applyFlowList(registry, host, later, now));
+    EXPECT_EQ(registry.at(host).flows.size(), 1U);
 }
 
 TEST_F(FlowRegistryTest, AnotherStartOfTheServerEndsItsFlowsOnce)
