--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -32,7 +32,7 @@
     std::chrono::milliseconds reportPeriod{200}; ///< To a balancer whose Hello has not come yet.
     std::chrono::milliseconds flowListPeriod{2000}; ///< Between two lists of the server's flows.
     /// Without a Hello, after which a balancer does not get the lists: three periods of Hellos in a zone.
-    std::chrono::milliseconds keeperTimeout{3000};
+    std::chrono::milliseconds receiverTimeout{3000};
     std::chrono::milliseconds balancerTimeout{
         10'000}; ///< Without a Hello, after which reports to a balancer end.
     std::chrono::milliseconds probeTimeout{250}; ///< Of the connection that probes a suspect server.
@@ -82,8 +82,9 @@
     /// port, behind space for the header. `number` is the number of the header.
     void returnPacket(PacketPort &port, std::span<std::uint8_t> bytes, const IpAddress &balancer,
                       ReturnReason reason, std::uint32_t number = 0);
-    /// Sends a packet to the server, marked with the balancer that gets it if the server rejects it.
-    void deliverPacket(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer);
+    /// Marks a packet with the balancer that gets it if the server rejects it, and counts it as delivered.
+    /// The caller sends it.
+    void prepareDelivery(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer);
     /// Adds an opening packet to the queue, or returns it if the queue is full.
     void queueOpening(std::span<std::uint8_t> packet, const Segment &segment, ServiceId intendedService,
                       const IpAddress &balancer);
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -50,7 +50,8 @@
     std::chrono::milliseconds routerDetectionTime{1500};
     /// A drain ends after this time without packets from callers.
     std::chrono::milliseconds drainIdleTime{400};
-    /// The process has stalled if the event loop has not run for this long; as `reportTimeout`.
+    /// The process has stalled if the event loop has not run for this long: agents with the usual report
+    /// period are unreachable by then.
     std::chrono::milliseconds stallThreshold{700};
 };
 
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -196,7 +196,7 @@
     const auto decision = admit(m_state, segment, intendedService, m_now, header.mayReturnBusy);
     switch (decision.action) {
     case GateAction::Deliver:
-        deliverPacket(packet, segment, from.address);
+        prepareDelivery(packet, segment, from.address);
         m_relay.send(packet, m_options.server);
         return;
     case GateAction::Queue:
@@ -215,8 +215,8 @@
     }
 }
 
-void GateNode::deliverPacket(std::span<std::uint8_t> packet, const Segment &segment,
-                             const IpAddress &balancer)
+void GateNode::prepareDelivery(std::span<std::uint8_t> packet, const Segment &segment,
+                               const IpAddress &balancer)
 {
     m_counters->delivered.Increment();
     // The server returns the mark with a packet that it rejects; `handleServerPacket` sends that packet to
@@ -271,7 +271,7 @@
         const std::span<std::uint8_t> packet(opening.bytes.data(), opening.size);
         Segment segment;
         if (m_options.format.parse(packet, segment)) {
-            deliverPacket(packet, segment, opening.balancer);
+            prepareDelivery(packet, segment, opening.balancer);
             m_relay.sendCopy(packet, m_options.server);
         }
     }
@@ -506,26 +506,27 @@
 
 void GateNode::sendFlowList(TimePoint now)
 {
-    const IpAddress *keeper = nullptr;
-    bool isKeeperNear = false;
+    const IpAddress *receiver = nullptr;
+    bool isReceiverNear = false;
     for (const auto &[address, balancer] : m_balancers) {
-        if (balancer.lifetime == 0 || now - balancer.lastHelloAt > m_options.keeperTimeout) {
+        if (balancer.lifetime == 0 || now - balancer.lastHelloAt > m_options.receiverTimeout) {
             continue;
         }
         const bool isNear = balancer.zone == m_options.gate.zone;
-        if (keeper == nullptr || isNear > isKeeperNear || (isNear == isKeeperNear && address < *keeper)) {
-            keeper = &address;
-            isKeeperNear = isNear;
+        if (receiver == nullptr || isNear > isReceiverNear
+            || (isNear == isReceiverNear && address < *receiver)) {
+            receiver = &address;
+            isReceiverNear = isNear;
         }
     }
-    const auto list = keeper == nullptr ? std::nullopt : listFlows(m_state, now);
+    const auto list = receiver == nullptr ? std::nullopt : listFlows(m_state, now);
     if (!list) {
         return;
     }
     std::array<std::uint8_t, maxFlowListSize> message{};
     for (std::size_t part = 0; part < flowListParts(*list); ++part) {
         const auto size = encodeFlowList(message, *list, part);
-        m_relay.send({message.data(), size}, {*keeper, m_options.balancerPort});
+        m_relay.send({message.data(), size}, {*receiver, m_options.balancerPort});
         m_relay.flush();
     }
 }
