--- a/src/flow-snapshots.cc
+++ b/src/flow-snapshots.cc
@@ -1,5 +1,7 @@
 #include "oriolelever/flow-snapshots.h"
 
+#include <utility>
+
 #include <asio/steady_timer.hpp>
 
 namespace oriolelever {
@@ -39,9 +41,8 @@
             callAfter(options.retryDelay, &State::read);
             return;
         }
-        isRead = true;
         version = answer ? answer.value().version : 0;
-        const bool isFirst = !std::exchange(hasRestored, true);
+        const bool isFirst = !std::exchange(isRead, true);
         if (answer && isFirst) {
             restore(answer.value());
         }
@@ -103,8 +104,7 @@
     asio::steady_timer timer;
     std::uint64_t version = 0; // Of the object in the store.
     bool isReading = false;
-    bool isRead = false; // `version` was read.
-    bool hasRestored = false; // The first read has succeeded.
+    bool isRead = false; // The first read has succeeded.
     bool isStopped = false;
 };
 
