--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <asio/io_context.hpp>
 
@@ -40,6 +41,25 @@
 /// Below the longest wait of the platform's store, 30 s.
 constexpr std::chrono::milliseconds maxSharedWatchTimeout{20'000};
 
+/// A list or watch that failed, for the log.
+struct FailedCall
+{
+    std::string_view call; ///< "list" or "watch".
+    std::chrono::milliseconds waited{0}; ///< From the start of the call to its failure.
+    std::chrono::milliseconds retryDelay{0}; ///< Until the next call, unless `retryNow` comes first.
+    int failures = 0; ///< Consecutive failed calls, this one included.
+    std::string text; ///< Of the error.
+};
+
+/// How the objects became known as they are.
+enum class ChangeSource {
+    List, ///< Listed at the start, or because events were missed.
+    Watch, ///< Events of a watch.
+    Peer, ///< Listed because another process had seen a change; see `ObjectFollower::catchUp`.
+};
+
+std::string_view toString(ChangeSource source);
+
 /// Runs until destroyed. Retries a failed watch from the last revision; lists again if the store no longer
 /// has the history since then.
 class ObjectFollower
@@ -51,6 +71,8 @@
     {
         /// Called with all objects after each list and each change.
         std::function<void(const Objects &objects)> changed;
+        /// Called for each failed call; may be unset.
+        std::function<void(const FailedCall &call)> failed;
         /// Called when a call fails after a success, with the error's text, and when one succeeds again, with
         /// the kind.
         std::function<void(bool available, const std::string &text)> availability;
@@ -66,6 +88,8 @@
     /// Revision of the store at which the objects changed last, as far as is known; 0 before the first change
     /// after the first list.
     std::uint64_t changeRevision() const;
+    /// How the objects became known at the last call of `Events::changed`.
+    ChangeSource changeSource() const;
     /// Lists the objects if they are known as of an earlier revision only: another process has seen them
     /// change at this one. The watch goes on. After a failed list, calls have no effect for `maxRetryDelay`.
     void catchUp(std::uint64_t revision);
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -47,6 +47,8 @@
                                                           "stopped",
                                                           "draining",
                                                           "store_lost",
+                                                          "store_call_failed",
+                                                          "configuration_read",
                                                           "store_regained",
                                                           "evacuations_in_force",
                                                           "configuration_in_force",
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -23,6 +23,19 @@
     return std::clamp<std::chrono::milliseconds>(timeout, minSharedWatchTimeout, maxSharedWatchTimeout);
 }
 
+std::string_view toString(ChangeSource source)
+{
+    switch (source) {
+    case ChangeSource::List:
+        return "list";
+    case ChangeSource::Watch:
+        return "watch";
+    case ChangeSource::Peer:
+        return "peer";
+    }
+    return "unknown";
+}
+
 struct ObjectFollower::State : std::enable_shared_from_this<State>
 {
     State(asio::io_context &context, ObjectApi &objectApi, FollowerOptions followerOptions,
@@ -37,23 +50,25 @@
 
     void list()
     {
+        callStart = std::chrono::steady_clock::now();
         api.list(options.kind, [self = shared_from_this()](const Answer<ObjectList> &answer) {
             if (self->isStopped) {
                 return;
             }
             if (!answer) {
-                self->retry(answer.error(), &State::list);
+                self->retry("list", answer.error(), &State::list);
                 return;
             }
             self->handleSuccess();
             self->hasListed = true;
-            self->applyList(answer.value());
+            self->applyList(answer.value(), ChangeSource::List);
             self->watch();
         });
     }
 
-    void applyList(const ObjectList &list)
+    void applyList(const ObjectList &list, ChangeSource listSource)
     {
+        source = listSource;
         objects.clear();
         for (const auto &object : list.objects) {
             objects.insert_or_assign(object.name, object);
@@ -78,7 +93,7 @@
                 return;
             }
             self->changeRevision = std::max(self->changeRevision, laterRevision);
-            self->applyList(answer.value());
+            self->applyList(answer.value(), ChangeSource::Peer);
         });
     }
 
@@ -88,13 +103,14 @@
         const auto shortest = options.watchTimeout * 3 / 4;
         const std::chrono::milliseconds timeout(std::uniform_int_distribution<std::int64_t>(
             shortest.count(), options.watchTimeout.count())(random));
+        callStart = std::chrono::steady_clock::now();
         api.watch({options.kind}, revision, timeout,
                   [self = shared_from_this()](const Answer<WatchBatch> &answer) {
                       if (self->isStopped) {
                           return;
                       }
                       if (!answer) {
-                          self->retry(answer.error(), &State::watch);
+                          self->retry("watch", answer.error(), &State::watch);
                           return;
                       }
                       self->handleSuccess();
@@ -118,6 +134,7 @@
         revision = batch.revision;
         if (!batch.events.empty()) {
             changeRevision = revision;
+            source = ChangeSource::Watch;
             events.changed(objects);
         }
         watch();
@@ -131,7 +148,7 @@
         failures = 0;
     }
 
-    void retry(const Error &error, void (State::*nextCall)())
+    void retry(std::string_view call, const Error &error, void (State::*nextCall)())
     {
         if (++failures == 1) {
             events.availability(false, error.text);
@@ -141,7 +158,16 @@
         if (!hasListed) {
             backoff.maxRetryDelay = options.maxFirstListDelay;
         }
-        callAfter(followerBackoff(backoff, failures, randomFraction), nextCall);
+        const auto delay = followerBackoff(backoff, failures, randomFraction);
+        if (events.failed) {
+            const auto waited = std::chrono::steady_clock::now() - callStart;
+            events.failed({.call = call,
+                           .waited = std::chrono::duration_cast<std::chrono::milliseconds>(waited),
+                           .retryDelay = delay,
+                           .failures = failures,
+                           .text = error.text});
+        }
+        callAfter(delay, nextCall);
     }
 
     void retryNow()
@@ -173,6 +199,8 @@
     std::uint64_t changeRevision = 0; // Of the store, when the objects last changed.
     bool isCatchingUp = false;
     std::chrono::steady_clock::time_point catchUpNotBefore{};
+    std::chrono::steady_clock::time_point callStart{}; // Of the last list or watch, without `catchUp`.
+    ChangeSource source = ChangeSource::List;
     int failures = 0; // Consecutive failed calls.
     void (State::*pendingRetry)() = nullptr; // Call that waits to be made again.
     bool hasListed = false;
@@ -201,6 +229,11 @@
     return m_state->changeRevision;
 }
 
+ChangeSource ObjectFollower::changeSource() const
+{
+    return m_state->source;
+}
+
 void ObjectFollower::catchUp(std::uint64_t revision)
 {
     m_state->catchUp(revision);
