Failing test: a watch sent into the silence of the store delays the next configuration

What callers saw: requests handled by a configuration more than 3 s after a newer one was acknowledged.

--- a/test/presence-test.cc
+++ b/test/presence-test.cc
@@ -163,6 +163,40 @@
     EXPECT_EQ(api.lists, 2);
 }
 
+// Records how long watches may wait.
+class RecordingObjectApi : public FakeObjectApi
+{
+public:
+    using FakeObjectApi::FakeObjectApi;
+
+    void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds wait,
+               Done<WatchBatch> done) override
+    {
+        waits.push_back(wait);
+        FakeObjectApi::watch(std::move(kinds), after, wait, std::move(done));
+    }
+
+    std::vector<milliseconds> waits;
+};
+
+TEST(ObjectFollowerTest, AWatchSentIntoTheSilenceOfTheStoreDoesNotDelayTheNextConfiguration)
+{
+    constexpr milliseconds applyTime{3000}; // After its acknowledgement, a configuration must be in force.
+    asio::io_context context;
+    RecordingObjectApi api(context);
+    const FollowerOptions options{.kind = "config"};
+    ObjectFollower follower(context, api, options,
+                            {.changed = [](const auto &) {},
+                             .availability =
+                                 [](bool, const std::string &) {
+                                 }});
+    follower.start();
+    runUntil(context, [&] { return api.waits.size() == 1; });
+    api.endWatches();
+    runUntil(context, [&] { return api.waits.size() == 2; });
+    EXPECT_LT(api.waits.back() + maxCallTimeout + options.maxRetryDelay, applyTime);
+}
+
 TEST(ObjectFollowerTest, TheMoreWatchersTheLongerTheyWait)
 {
     EXPECT_EQ(sharedWatchTimeout(0), minSharedWatchTimeout);
