A failed watch is followed by a short one, so that the store's return is noticed

What callers saw: requests handled by a configuration more than 3 s after a newer one had been acknowledged. Cause: a watch that is sent while the store is silent cannot be told from one that waits for changes. Ruled out: an event lost between two watches (a later version would have brought it), refused versions (none logged). Change: after a failed call a watch waits 1 ms only; calls into a silence last at most 1.2 s instead of 4.8 s, retries wait at most 0.6 s instead of 1.2 s. Conclusion: the cause of the report, as far as its record tells.

--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -20,8 +20,7 @@
     /// gets no events although its connection is not lost. See `setWatchTimeout`.
     std::chrono::milliseconds watchTimeout{4000};
     std::chrono::milliseconds firstRetryDelay{150}; ///< After the first failed call; see `followerBackoff`.
-    /// Below the two seconds in which entries must be restored.
-    std::chrono::milliseconds maxRetryDelay{1200};
+    std::chrono::milliseconds maxRetryDelay{600};
     /// Replaces `maxRetryDelay` until the first list: a process without the objects cannot work.
     std::chrono::milliseconds maxFirstListDelay{1200};
 };
@@ -60,7 +59,8 @@
 
 std::string_view toString(ChangeSource source);
 
-/// Runs until destroyed. Retries a failed watch from the last revision; lists again if the store no longer
+/// Runs until destroyed. Retries a failed watch from the last revision, at first with a short wait that shows
+/// whether the store answers; lists again if the store no longer
 /// has the history since then.
 class ObjectFollower
 {
--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -210,7 +210,16 @@
 /// Shortest and longest timeout of a call that should be answered at once, for clients that adapt it by the
 /// functions below; `PlatformClient` uses `PlatformOptions::timeout` instead.
 constexpr std::chrono::milliseconds minCallTimeout{600}; ///< More than twice a slow answer of 60 x 4 ms.
-constexpr std::chrono::milliseconds maxCallTimeout{4800}; ///< The shortest one doubled three times.
+/// With `FollowerOptions::maxRetryDelay`, short enough to notice the return of a silent platform well before
+/// a change made then must be in force.
+constexpr std::chrono::milliseconds maxCallTimeout{1200};
+/// How long a watch waits for changes after a failed call. Short, because a watch that a silent platform does
+/// not answer cannot be told from one that waits.
+constexpr std::chrono::milliseconds confirmationWait{1};
+
+/// Returns how long the next watch should wait for changes after `failures` consecutive failed calls;
+/// `usualWait` if there was none.
+std::chrono::milliseconds watchWait(int failures, std::chrono::milliseconds usualWait);
 
 /// Timeout of the next call after one that was answered in `answerTime`. Short, so that a platform that did
 /// not answer is called again soon after it recovers; longer for a slow platform.
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -101,10 +101,10 @@
     {
         // Processes that started together do not let their watches end together.
         const auto shortest = options.watchTimeout * 3 / 4;
-        const std::chrono::milliseconds timeout(std::uniform_int_distribution<std::int64_t>(
+        const std::chrono::milliseconds usualWait(std::uniform_int_distribution<std::int64_t>(
             shortest.count(), options.watchTimeout.count())(random));
         callStart = std::chrono::steady_clock::now();
-        api.watch({options.kind}, revision, timeout,
+        api.watch({options.kind}, revision, watchWait(failures, usualWait),
                   [self = shared_from_this()](const Answer<WatchBatch> &answer) {
                       if (self->isStopped) {
                           return;
--- a/src/platform-policy.cc
+++ b/src/platform-policy.cc
@@ -183,6 +183,11 @@
     backoff.notBefore = {};
 }
 
+std::chrono::milliseconds watchWait(int failures, std::chrono::milliseconds usualWait)
+{
+    return failures > 0 ? confirmationWait : usualWait;
+}
+
 std::chrono::milliseconds timeoutAfterAnswer(std::chrono::milliseconds answerTime)
 {
     return std::clamp(3 * answerTime, minCallTimeout, maxCallTimeout);
