Records' watch: after a failure it is short, as the follower's

The same cause elsewhere: PlatformWatch of the product's own daemons waited its whole time after a failed call too. Found by reading; its test failed before (10 s instead of 1 ms).

--- a/src/watch.cc
+++ b/src/watch.cc
@@ -154,7 +154,7 @@
 void PlatformWatch::watch()
 {
     ++m_calls;
-    m_api.watch(configurationKinds(), m_lastRevision, m_watchTimeout,
+    m_api.watch(configurationKinds(), m_lastRevision, watchWait(m_failures, m_watchTimeout),
                 [self = shared_from_this()](const Answer<WatchBatch> &answer) {
                     if (self->m_stopped) {
                         return;
--- a/test/fakes.h
+++ b/test/fakes.h
@@ -162,4 +162,20 @@
     std::vector<WaitingWatch> m_waitingWatches;
 };
 
+/// Records how long watches may wait.
+class RecordingObjectApi : public FakeObjectApi
+{
+public:
+    using FakeObjectApi::FakeObjectApi;
+
+    void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds wait,
+               Done<WatchBatch> done) override
+    {
+        waits.push_back(wait);
+        FakeObjectApi::watch(std::move(kinds), after, wait, std::move(done));
+    }
+
+    std::vector<std::chrono::milliseconds> waits; ///< Of all watches, in their order.
+};
+
 } // namespace oriolelever
--- a/test/presence-test.cc
+++ b/test/presence-test.cc
@@ -163,22 +163,6 @@
     EXPECT_EQ(api.lists, 2);
 }
 
-// Records how long watches may wait.
-class RecordingObjectApi : public FakeObjectApi
-{
-public:
-    using FakeObjectApi::FakeObjectApi;
-
-    void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds wait,
-               Done<WatchBatch> done) override
-    {
-        waits.push_back(wait);
-        FakeObjectApi::watch(std::move(kinds), after, wait, std::move(done));
-    }
-
-    std::vector<milliseconds> waits;
-};
-
 TEST(ObjectFollowerTest, AWatchSentIntoTheSilenceOfTheStoreDoesNotDelayTheNextConfiguration)
 {
     constexpr milliseconds applyTime{3000}; // After its acknowledgement, a configuration must be in force.
--- a/test/records-test.cc
+++ b/test/records-test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "event-loop.h"
 #include "fakes.h"
 #include "oriolelever/watch.h"
 
@@ -226,6 +227,23 @@
     EXPECT_EQ(watchBackoff(20, 1.0), 10s);
 }
 
+TEST(WatchTest, AWatchSentIntoTheSilenceOfThePlatformIsShort)
+{
+    asio::io_context context;
+    RecordingObjectApi api(context);
+    const ClusterView view;
+    const auto watch = std::make_shared<PlatformWatch>(
+        context, api, 10s, [](const auto &) {}, [&]() -> const ClusterView & { return view; });
+    watch->start();
+    oriolelever::runUntil(context, [&] { return api.waits.size() == 1; });
+    api.endWatches();
+    oriolelever::runUntil(context, [&] { return api.waits.size() == 2; });
+    EXPECT_EQ(api.waits.front(), 10s);
+    EXPECT_EQ(api.waits.back(), confirmationWait);
+    watch->stop();
+    context.poll();
+}
+
 TEST(WatchTest, ListDeletesOnlyOlderRows)
 {
     ClusterView view;
