--- a/include/oriolelever/flow-snapshots.h
+++ b/include/oriolelever/flow-snapshots.h
@@ -39,6 +39,8 @@
     ~FlowSnapshots();
 
     void start();
+    /// The store has come back from an older copy of itself: reads the version of its snapshot.
+    void handleNewEra();
     /// Makes a read at once that waits to be retried, as the store has answered another call.
     void retryNow();
 
--- a/include/oriolelever/http-client.h
+++ b/include/oriolelever/http-client.h
@@ -25,6 +25,7 @@
     TransferState state = TransferState::Complete;
     int status = 0;
     std::string body;
+    std::string header; ///< Value of `HttpClientOptions::answerHeader`; empty if the answer has none.
 };
 
 /// One call; `done` is called once, never before `HttpClient::send` returns.
@@ -44,6 +45,7 @@
     std::chrono::milliseconds connectTimeout{500}; ///< Unused; `HttpCall::timeout` includes connecting.
     std::chrono::milliseconds tcpUserTimeout{2500}; ///< For sent data without acknowledgement.
     std::size_t maxAnswerBytes = 8UL << 20; ///< Of the body.
+    std::string answerHeader; ///< Name of a header of which answers report the value; empty for none.
 };
 
 /// Sends calls one after another on one connection, which is reopened when needed. A retryable GET is sent
@@ -61,6 +63,9 @@
 
     /// Queues a call.
     void send(HttpCall call);
+    /// Ends the current call, if it has begun, as if its answer were lost. Its `done` is called after this
+    /// function has returned.
+    void abortCall();
 
     /// Attempts to open a connection so far.
     std::uint64_t connectCount() const;
--- a/include/oriolelever/http-service.h
+++ b/include/oriolelever/http-service.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <asio/io_context.hpp>
 
@@ -24,6 +26,7 @@
     int status = 200;
     std::string body;
     std::string contentType = "application/json"; ///< Value of `Content-Type`.
+    std::vector<std::pair<std::string, std::string>> headers; ///< Further ones: names and values.
 };
 
 /// Answers each request with the reply that `handler` returns. Listens on IPv4 only.
--- a/include/oriolelever/model.h
+++ b/include/oriolelever/model.h
@@ -87,7 +87,7 @@
 
 /// Version of a record, ordered by epoch, then sequence. A node never replaces a record by one of a smaller
 /// version.
-/// Configuration: the epoch is 0 and the sequence is the platform's object version.
+/// Configuration: the epoch is the era of the platform and the sequence its object version.
 /// Nodes: the epoch is the incarnation; each change, accusation or refutation increments the sequence.
 struct RecordVersion
 {
--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -43,13 +43,22 @@
 /// A list or watch that failed, for the log.
 struct FailedCall
 {
-    std::string_view call; ///< "list" or "watch".
+    std::string_view call; ///< "list", "watch" or "catch_up".
     std::chrono::milliseconds waited{0}; ///< From the start of the call to its failure.
     std::chrono::milliseconds retryDelay{0}; ///< Until the next call, unless `retryNow` comes first.
     int failures = 0; ///< Consecutive failed calls, this one included.
     std::string text; ///< Of the error.
 };
 
+/// The first list of a new era of the store, see `StorePosition`.
+struct EraListing
+{
+    StorePosition before; ///< As of which the objects were known.
+    StorePosition after; ///< Of the list.
+    std::size_t objects = 0; ///< In the list.
+    std::size_t dropped = 0; ///< Objects that were known and are not in the list.
+};
+
 /// How the objects became known as they are.
 enum class ChangeSource {
     List, ///< Listed at the start, or because events were missed.
@@ -60,8 +69,8 @@
 std::string_view toString(ChangeSource source);
 
 /// Runs until destroyed. Retries a failed watch from the last revision, at first with a short wait that shows
-/// whether the store answers; lists again if the store no longer
-/// has the history since then.
+/// whether the store answers; lists again if the store no longer has the history since then, or has come back
+/// from an older copy of itself.
 class ObjectFollower
 {
 public:
@@ -73,6 +82,8 @@
         std::function<void(const Objects &objects)> changed;
         /// Called for each failed call; may be unset.
         std::function<void(const FailedCall &call)> failed;
+        /// Called before `changed` with the first list of a new era; may be unset.
+        std::function<void(const EraListing &listing)> eraListed;
         /// Called when a call fails after a success, with the error's text, and when one succeeds again, with
         /// the kind.
         std::function<void(bool available, const std::string &text)> availability;
@@ -85,14 +96,16 @@
     void start();
     /// Sets how long the watch calls from now on wait.
     void setWatchTimeout(std::chrono::milliseconds timeout);
-    /// Revision of the store at which the objects changed last, as far as is known; 0 before the first change
-    /// after the first list.
-    std::uint64_t changeRevision() const;
+    /// Position of the store at which the objects changed last, as far as is known; zero before the first
+    /// change after the first list.
+    StorePosition lastChange() const;
     /// How the objects became known at the last call of `Events::changed`.
     ChangeSource changeSource() const;
-    /// Lists the objects if they are known as of an earlier revision only: another process has seen them
+    /// Of the last list or watch.
+    StorePosition position() const;
+    /// Lists the objects if they are known as of an earlier position only: another process has seen them
     /// change at this one. The watch goes on. After a failed list, calls have no effect for `maxRetryDelay`.
-    void catchUp(std::uint64_t revision);
+    void catchUp(StorePosition position);
     /// Makes a call at once that waits to be retried after a failure, as the store has answered another call.
     void retryNow();
 
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "oriolelever/flow.h"
+#include "oriolelever/store-position.h"
 
 namespace oriolelever {
 
@@ -55,20 +56,33 @@
 
 constexpr std::uint32_t noColdLimit = UINT32_MAX; ///< No rate is configured for cold servers.
 
+/// The era of the platform's store in 16 bits, which fit into fields that earlier versions of the messages
+/// leave unused: 0 if it is unknown, as in messages of processes that know no eras.
+using EraTag = std::uint16_t;
+
+EraTag eraTagOf(std::uint64_t era);
+/// Whether `tag` is known and stands for a later era than `other`, or `other` is unknown.
+bool isLaterEra(EraTag tag, EraTag other);
+
 /// Revisions of the platform's store at which the operators' documents changed last, as far as is known.
-/// Agents pass on the highest that balancers have told them, so that a balancer whose watch has failed
-/// unnoticed learns of a change.
+/// Agents pass on the latest that balancers have told them, so that a balancer whose watch has failed
+/// unnoticed learns of a change, or of a new era of the store.
 struct DocumentRevisions
 {
+    EraTag era = 0; ///< Of the revisions.
     std::uint64_t configuration = 0;
     std::uint64_t evacuations = 0;
 
     bool operator==(const DocumentRevisions &) const = default;
 };
 
-/// Takes the higher one of each revision.
+/// Takes the higher one of each revision if the eras are the same, and the revisions of the later era if not.
 void mergeRevisions(DocumentRevisions &revisions, const DocumentRevisions &others);
 
+/// Returns the position that a peer states as an era and a revision, for a process that knows the store as of
+/// `known`. Zero if the peer does not know of eras and this process does: its word cannot be ordered.
+StorePosition peerPosition(EraTag era, std::uint64_t revision, const StorePosition &known);
+
 /// A balancer's request for reports, with settings for the agent.
 struct Hello
 {
@@ -117,7 +131,7 @@
     std::uint64_t bornAt = 0; ///< When the server started, Unix time in milliseconds; 0 if unknown.
     bool isFailing = false; ///< The server resets flows instead of answering their requests.
     std::uint16_t balancers = 0; ///< From which the agent has had a Hello lately.
-    DocumentRevisions documents; ///< The highest of those balancers.
+    DocumentRevisions documents; ///< The latest of those balancers.
     /// All flows of the server; only in answers to a Hello that asks for them, and absent if the agent does
     /// not know all of them.
     std::optional<FlowFilter> heldFlowFilter;
--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -16,6 +16,7 @@
 #include "oriolelever/http-client.h"
 #include "oriolelever/kernel.h"
 #include "oriolelever/settings.h"
+#include "oriolelever/store-position.h"
 #include "oriolelever/types.h"
 
 namespace oriolelever {
@@ -26,15 +27,21 @@
     std::string kind; ///< Type of the object, such as "zone".
     std::string name; ///< Unique among the objects of the kind.
     std::uint64_t version = 0; ///< Revision of the platform at the last write; 0 for an object to be created.
+    std::uint64_t era = 0; ///< Of `version`, see `StorePosition`.
     nlohmann::json value; ///< A JSON object of at most 1 MB.
     std::vector<std::string> changes; ///< Change identifiers of the latest writes, oldest first.
 };
 
-/// All objects of one kind at one revision of the platform.
+inline StorePosition positionOf(const Object &object)
+{
+    return {.era = object.era, .revision = object.version};
+}
+
+/// All objects of one kind at one point in the history of the platform.
 struct ObjectList
 {
     std::vector<Object> objects;
-    std::uint64_t revision = 0; ///< To be passed to the first watch after this list.
+    StorePosition position; ///< To be passed to the first watch after this list.
 };
 
 /// One change reported by a watch. Of a removed object, only `kind`, `name` and `version`, the revision of
@@ -49,7 +56,7 @@
 struct WatchBatch
 {
     std::vector<WatchEvent> events; ///< In ascending order of version; may be empty.
-    std::uint64_t revision = 0; ///< To be passed to the next watch.
+    StorePosition position; ///< To be passed to the next watch.
     bool restart = false; ///< Events were skipped: the objects must be listed again.
 };
 
@@ -142,9 +149,9 @@
     /// removal.
     virtual void remove(Object object, Done<std::uint64_t> done) = 0;
 
-    /// Waits up to `wait` for changes of objects of `kinds` after revision `after`. The answer has no events
-    /// if there was none in that time.
-    virtual void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds wait,
+    /// Waits up to `wait` for changes of objects of `kinds` after `after`. The answer has no events if there
+    /// was none in that time.
+    virtual void watch(std::vector<std::string> kinds, StorePosition after, std::chrono::milliseconds wait,
                        Done<WatchBatch> done)
         = 0;
 };
@@ -281,7 +288,7 @@
     void list(std::string kind, Done<ObjectList> done) override;
     void write(Object object, std::string change, Done<Object> done) override;
     void remove(Object object, Done<std::uint64_t> done) override;
-    void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds wait,
+    void watch(std::vector<std::string> kinds, StorePosition after, std::chrono::milliseconds wait,
                Done<WatchBatch> done) override;
 
     PlatformCounters counters() const;
--- a/include/oriolelever/presence.h
+++ b/include/oriolelever/presence.h
@@ -25,6 +25,8 @@
     /// Between two lists, to find entries that an earlier one missed: lists after the first may read a copy
     /// of the store that is seconds old.
     std::chrono::milliseconds refreshPeriod{15'000};
+    /// Longest delay of the calls after a new era of the store; its rate is shared by all processes.
+    std::chrono::milliseconds eraSpread{1000};
     std::chrono::milliseconds firstRetryDelay{200}; ///< After the first failed call; see `followerBackoff`.
     /// With `maxCallTimeout`, below the two seconds in which entries must be restored.
     std::chrono::milliseconds maxRetryDelay{600};
@@ -53,6 +55,9 @@
     void start();
     /// Writes the own entry again, at most once per `maxRetryDelay` and not before the first list.
     void renew();
+    /// The store has come back from an older copy, which may lack the own entry and others: writes the own
+    /// entry again if it is missing and lists anew, within `eraSpread`.
+    void handleNewEra();
     /// Makes a call at once that waits to be retried after a failure, as the store has answered another call.
     void retryNow();
     /// Removes the own entry, then calls `done`, also if that failed. Has no timeout of its own.
--- a/include/oriolelever/process-metrics.h
+++ b/include/oriolelever/process-metrics.h
@@ -33,6 +33,9 @@
     /// "answered", "refused" or "lost", and the time it took.
     void recordCall(std::string_view call, std::string_view outcome, Duration elapsed);
 
+    /// Records that the platform's store has come back from an older copy, in this era.
+    void recordEra(std::uint64_t era);
+
     /// Sets the gauges; the timer that `start` begins calls this once a second. `delay` is the time by which
     /// the event loop ran the timer late.
     void update(TimePoint now, Duration delay);
--- a/include/oriolelever/routing-table.h
+++ b/include/oriolelever/routing-table.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "oriolelever/store-position.h"
 #include "oriolelever/types.h"
 
 namespace oriolelever {
@@ -34,7 +35,7 @@
 /// One version of the whole configuration.
 struct RoutingTable
 {
-    std::uint64_t revision = 0; ///< Of the platform's store when it was written; orders configurations.
+    StorePosition position; ///< Of the platform's store when it was written; orders configurations.
     std::uint64_t version = 0; ///< Version number that the operators gave it.
     std::unordered_map<Endpoint, VirtualRoute, EndpointHash> routes; ///< By virtual address.
     /// New flows per second that a cold server of the service can take; absent if not configured.
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -126,7 +126,7 @@
     std::uint32_t consecutiveResets = 0; ///< Requests that ended in a reset since the server's last answer.
     std::uint32_t ejections = 0; ///< Since the server's last answer.
     TimePoint ejectedUntil{}; ///< End of the last ejection.
-    DocumentRevisions documents; ///< The highest that balancers have stated.
+    DocumentRevisions documents; ///< The latest that balancers have stated.
     OpeningQueue openingQueue; ///< Opening packets that wait until the server is no longer busy.
     TimePoint unansweredOpeningSince{}; ///< First opening packet since the server's last packet; else unset.
     TimePoint unansweredPayloadSince{}; ///< First payload since the server's last packet; else unset.
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -70,10 +70,11 @@
     /// Opens the sockets and starts the timer; `start` without a kernel.
     Result<void> open();
 
-    /// Puts a configuration in force unless it is older than the one in force.
+    /// Applies a configuration of the store, see `applyTable`.
     void setTable(RoutingTable table);
-    /// Sets the zones whose servers get no new flows; replaces the previous ones.
-    void setEvacuatedZones(const std::set<std::string> &zones);
+    /// Sets the zones whose servers get no new flows, as the store orders as of `position`; replaces the
+    /// previous ones, see `applyEvacuations`.
+    void setEvacuatedZones(const std::set<std::string> &zones, const StorePosition &position);
     /// Sets the hosts of all agents that have an entry in the platform's store; replaces the previous ones.
     void setListedAgents(const std::vector<IpAddress> &hosts);
 
@@ -82,6 +83,8 @@
     void restoreFlows(const std::string &snapshot);
     /// Returns a snapshot of the flows that agents have listed, if they have changed since the last call.
     std::optional<std::string> changedSnapshot();
+    /// Makes the next `changedSnapshot` return one in any case: the store may have lost the last one.
+    void renewSnapshot();
 
     /// Returns the revisions of the operators' documents that are in force, for the agents. Unset means
     /// unknown.
@@ -140,7 +143,6 @@
     TimePoint m_drainStartedAt{};
     FlowRegistry m_registry; ///< Flows that agents have listed, or a snapshot.
     bool m_hasRegistryChanged = false; ///< Agents have listed other flows since the last snapshot.
-    bool m_hasEvacuations = false; ///< The evacuated zones were set at least once.
     bool m_isDraining = false;
 };
 
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -44,6 +44,9 @@
     std::chrono::milliseconds firstReportWait{400};
     /// An agent that has just started may not have written its entry in the platform's store yet.
     std::chrono::milliseconds entryCreationTimeout{3000};
+    /// How long what the store has lost stays in force; about the time that the platform gives its own
+    /// changes.
+    std::chrono::milliseconds eraHoldTime{4000};
     /// An agent that has been unreachable for this long is not just restarting: it no longer keeps an unknown
     /// flow from being reset, and a balancer that gets no report for this long is isolated. A planned restart
     /// takes 0.65 s; this is more than twice that.
@@ -196,6 +199,17 @@
     UndecidedAgents undecidedAgents; ///< Set when a search ends as `Undecided`.
 };
 
+/// What stays in force for `SteeringOptions::eraHoldTime` although the store, come back from an older copy,
+/// lacks it: its writers are given that time to write it again.
+struct EraHold
+{
+    std::uint64_t era = 0; ///< Latest era of the store that a configuration or the evacuations came from.
+    std::uint64_t evacuationsEra = 0; ///< Of the evacuations.
+    TimePoint until{}; ///< End of the time for this era.
+    std::optional<RoutingTable> olderTable; ///< The store's configuration, while a later version is held.
+    std::unordered_set<ZoneId> zones; ///< Of `SteeringState::evacuatedZones`, those that the store lacks.
+};
+
 /// All that a balancer knows.
 struct SteeringState
 {
@@ -204,6 +218,8 @@
     bool hasTable = false; ///< `table` was read.
     bool hasAgentList = false; ///< The agents' entries in the platform's store were read.
     std::unordered_set<ZoneId> evacuatedZones; ///< Their servers get no new flows.
+    bool hasEvacuations = false; ///< The evacuated zones were read.
+    EraHold hold;
     std::vector<Backend> backends; ///< Never shrinks, so that a `BackendIndex` stays valid.
     std::unordered_map<IpAddress, BackendIndex, AddressHash> backendByHost;
     std::unordered_map<FlowKey, SteeredFlow> flows; ///< The cache.
@@ -234,8 +250,22 @@
 /// Applies an agent's report.
 void applyReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now);
 
-/// Puts a configuration in force; returns false if it is older than the one in force.
-bool applyTable(SteeringState &state, RoutingTable table);
+enum class TableOutcome {
+    InForce,
+    Older, ///< The store has replaced it before: ignored.
+    /// A later version stays in force for now, as the store has come back from an older copy; see `EraHold`.
+    Held,
+};
+
+std::string_view toString(TableOutcome outcome);
+
+/// Puts a configuration of the store in force, unless the outcome says otherwise.
+TableOutcome applyTable(SteeringState &state, RoutingTable table, TimePoint now);
+/// Applies the zones whose evacuation the store orders, as of `position`.
+void applyEvacuations(SteeringState &state, std::unordered_set<ZoneId> zones, const StorePosition &position,
+                      TimePoint now);
+/// Ends the hold when its time is over; returns whether something else is in force then.
+bool endHold(SteeringState &state, TimePoint now);
 
 /// Sets the period of reports that the agent is asked for.
 void setReportPeriod(SteeringState &state, BackendIndex index, std::chrono::milliseconds period,
--- a/include/oriolelever/watch.h
+++ b/include/oriolelever/watch.h
@@ -26,7 +26,7 @@
 std::vector<Record> makeListRecords(const ClusterView &view, const std::string &kind, const ObjectList &list);
 
 /// Lists all configuration rows, then watches for changes until stopped. Passes records to `sink`. Retries a
-/// failed call with exponential backoff and jitter, and continues from the last revision.
+/// failed call with exponential backoff and jitter, and continues from the last position.
 class PlatformWatch : public std::enable_shared_from_this<PlatformWatch>
 {
 public:
@@ -50,7 +50,7 @@
     /// Returns true if all lists are complete and the last call succeeded.
     bool isCurrent() const
     {
-        return m_failures == 0 && m_lastRevision > 0;
+        return m_failures == 0 && m_lastPosition != StorePosition{};
     }
 
 private:
@@ -65,8 +65,8 @@
     std::function<const ClusterView &()> m_view;
     asio::steady_timer m_timer;
     std::minstd_rand m_random;
-    std::uint64_t m_lastRevision = 0; ///< Changes up to here were received; 0 before the lists are complete.
-    std::uint64_t m_listedRevision = 0; ///< Smallest revision of the lists received since `start`.
+    StorePosition m_lastPosition; ///< Changes up to here were received; zero before the lists are complete.
+    StorePosition m_listedPosition; ///< Earliest of the lists received since `start`.
     std::uint64_t m_calls = 0;
     int m_failures = 0; ///< Retries since the last success.
     bool m_stopped = false;
--- a/lab/cmd-soak.cc
+++ b/lab/cmd-soak.cc
@@ -26,14 +26,15 @@
     SoakPlant plant;
 };
 
-constexpr std::array<Lie, 8> lies{{{"", SoakPlant::None},
+constexpr std::array<Lie, 9> lies{{{"", SoakPlant::None},
                                    {"twice", SoakPlant::RunTwice},
                                    {"departure", SoakPlant::HideDeparture},
                                    {"cold", SoakPlant::HideCold},
                                    {"evacuation", SoakPlant::HideEvacuation},
                                    {"configuration", SoakPlant::HideConfiguration},
                                    {"faults", SoakPlant::KeepFaults},
-                                   {"kill", SoakPlant::KillUnseen}}};
+                                   {"kill", SoakPlant::KillUnseen},
+                                   {"era", SoakPlant::HideEra}}};
 
 void printFigures(const SoakOutcome &outcome)
 {
--- a/lab/fake-platform.h
+++ b/lab/fake-platform.h
@@ -48,7 +48,7 @@
 
     /// Answers in the next `deliver` if there are events or the watch must restart, otherwise after the next
     /// write of a watched kind or by `endWatches`.
-    void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds,
+    void watch(std::vector<std::string> kinds, StorePosition after, std::chrono::milliseconds,
                Done<WatchBatch> done) override
     {
         ++calls;
@@ -79,7 +79,7 @@
     {
         for (auto &watch : m_watches) {
             m_pendingAnswers.push_back(
-                [done = std::move(watch.done), after = watch.after] { done(WatchBatch{.revision = after}); });
+                [done = std::move(watch.done), after = watch.after] { done(WatchBatch{.position = after}); });
         }
         m_watches.clear();
     }
@@ -88,7 +88,7 @@
     struct Watch
     {
         std::vector<std::string> kinds;
-        std::uint64_t after = 0;
+        StorePosition after;
         Done<WatchBatch> done;
     };
 
@@ -133,7 +133,7 @@
     void queueWatchAnswers()
     {
         for (auto watch = m_watches.begin(); watch != m_watches.end();) {
-            auto batch = store.changes(watch->kinds, watch->after);
+            auto batch = store.changes(watch->kinds, watch->after.revision);
             if (batch.events.empty() && !batch.restart) {
                 ++watch;
                 continue;
--- a/lab/object-store.cc
+++ b/lab/object-store.cc
@@ -31,7 +31,7 @@
 
 ObjectList ObjectStore::list(const std::string &kind) const
 {
-    ObjectList list{.revision = m_revision};
+    ObjectList list{.position = {.revision = m_revision}};
     const auto objects = m_kinds.find(kind);
     if (objects == m_kinds.end()) {
         return list;
@@ -96,7 +96,7 @@
 
 WatchBatch ObjectStore::changes(const std::vector<std::string> &kinds, std::uint64_t after) const
 {
-    WatchBatch batch{.revision = m_revision};
+    WatchBatch batch{.position = {.revision = m_revision}};
     if (after < m_dropped || after > m_revision) {
         batch.restart = true;
         return batch;
--- a/lab/platform-standin.cc
+++ b/lab/platform-standin.cc
@@ -271,7 +271,7 @@
     {
         ++m_counters.reads;
         const auto list = m_store.list(kind);
-        Json json{{"revision", list.revision}, {"objects", Json::array()}};
+        Json json{{"revision", list.position.revision}, {"objects", Json::array()}};
         for (const auto &object : list.objects) {
             json["objects"].push_back(toJson(object));
         }
@@ -374,13 +374,13 @@
     {
         const auto batch = m_store.changes(watch.kinds, watch.after);
         if (batch.restart) {
-            respond(watch.request, restinio::status_gone(), Json{{"revision", batch.revision}});
+            respond(watch.request, restinio::status_gone(), Json{{"revision", batch.position.revision}});
             return true;
         }
         if (batch.events.empty() && !force) {
             return false;
         }
-        Json json{{"revision", batch.revision}, {"events", Json::array()}};
+        Json json{{"revision", batch.position.revision}, {"events", Json::array()}};
         for (const auto &event : batch.events) {
             auto item = toJson(event.object);
             item["deleted"] = event.deleted;
--- a/lab/soak-plan.cc
+++ b/lab/soak-plan.cc
@@ -1,5 +1,6 @@
 #include "soak-plan.h"
 
+#include <algorithm>
 #include <random>
 
 namespace oriolelever::lab {
@@ -61,15 +62,39 @@
         return "configuration";
     case FaultKind::ConfigureOften:
         return "configurations in a row";
+    case FaultKind::StoreStepsBack:
+        return "store steps back";
     }
     return "unknown";
 }
 
+namespace {
+
+// Planned apart from the other kinds, so that a seed keeps the faults that it had without them.
+void planStepsBack(std::uint64_t seed, std::chrono::milliseconds duration, std::vector<PlannedFault> &plan)
+{
+    using std::chrono::milliseconds;
+    constexpr std::uint64_t ownSequence = 0x65726173;
+    std::mt19937_64 random(seed ^ ownSequence);
+    for (milliseconds at(2000 + random() % 12'000); at < duration;
+         at += milliseconds(8000 + random() % 9000)) {
+        plan.push_back({.kind = FaultKind::StoreStepsBack,
+                        .at = at,
+                        .lasting = milliseconds(100 + random() % 900),
+                        .target = static_cast<std::uint32_t>(random() % (1U << 20))});
+    }
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const PlannedFault &a, const PlannedFault &b) { return a.at < b.at; });
+}
+
+} // namespace
+
 std::vector<PlannedFault> planFaults(std::uint64_t seed, std::chrono::milliseconds duration)
 {
     using std::chrono::milliseconds;
     constexpr milliseconds start{2000}; ///< Callers open their flows first.
     constexpr int largestSeries = 6;
+    constexpr auto drawnKindCount = static_cast<std::uint64_t>(FaultKind::ConfigureOften) + 1;
     // The engine's sequence is fixed by the language's standard, unlike that of its distributions.
     std::mt19937_64 random(seed);
     const auto below = [&](std::uint64_t limit) {
@@ -80,7 +105,7 @@
     while (at < duration) {
         const auto series = 1 + below(largestSeries);
         for (std::uint64_t i = 0; i < series && at < duration; ++i) {
-            plan.push_back({.kind = static_cast<FaultKind>(below(faultKindCount)),
+            plan.push_back({.kind = static_cast<FaultKind>(below(drawnKindCount)),
                             .at = at,
                             .lasting = milliseconds(200 + below(4000)),
                             .target = static_cast<std::uint32_t>(below(1U << 20)),
@@ -89,6 +114,7 @@
         }
         at += milliseconds(2000 + below(9000));
     }
+    planStepsBack(seed, duration, plan);
     return plan;
 }
 
--- a/lab/soak-plan.h
+++ b/lab/soak-plan.h
@@ -36,9 +36,10 @@
     Evacuate, ///< A zone's servers get no new flows for a while.
     Configure, ///< A new version moves a route to another service.
     ConfigureOften, ///< Several versions in a row.
+    StoreStepsBack, ///< The store is silent, then back from an older copy; the operator writes again.
 };
 
-constexpr std::size_t faultKindCount = static_cast<std::size_t>(FaultKind::ConfigureOften) + 1;
+constexpr std::size_t faultKindCount = static_cast<std::size_t>(FaultKind::StoreStepsBack) + 1;
 std::string_view toString(FaultKind kind);
 
 struct PlannedFault
@@ -50,7 +51,8 @@
     double strength = 0; ///< 0 to 1.
 };
 
-/// Faults in series that overlap, with calm spans between the series; the same for the same arguments.
+/// Faults in series that overlap, with calm spans between the series; the same for the same arguments. Steps
+/// back of the store come on top, from a sequence of their own.
 std::vector<PlannedFault> planFaults(std::uint64_t seed, std::chrono::milliseconds duration);
 
 } // namespace oriolelever::lab
--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -99,7 +99,9 @@
         std::filesystem::create_directories(m_options.directory);
         m_store = std::make_unique<StoreServer>(m_context, at(hostAddress(250, 1), storePort),
                                                 m_options.seed + 2);
+        setStoreFaults({});
         configure();
+        keepStoreCopies();
         BOOST_LEAF_CHECK(makeNodes());
         makeCallers();
         BOOST_LEAF_CHECK(m_callers->open());
@@ -303,6 +305,7 @@
         }
         if (m_options.plant != SoakPlant::HideConfiguration || m_phase == Phase::Starting) {
             m_store->configure(entry);
+            m_configuration = entry;
         }
         m_ledger.configured(m_version, routes, now);
     }
@@ -565,12 +568,12 @@
             endAt(until, mend);
         };
         const auto onStore = [&](const StoreFaults &faults) {
-            m_store->setFaults(faults);
+            setStoreFaults(faults);
             m_storeFaulty = true;
             m_ledger.disturbStore(now, until);
             endAt(until, [this] {
                 m_storeFaulty = false;
-                m_store->setFaults({});
+                setStoreFaults({});
             });
         };
         constexpr milliseconds slowest{400};
@@ -604,11 +607,53 @@
             m_ledger.disturbStore(now, now);
             m_store->dropHistory();
             return;
+        case FaultKind::StoreStepsBack:
+            if (!m_storeFaulty) {
+                onStore({.silent = true});
+                later(until, [this] { stepStoreBack(); });
+            }
+            return;
         default:
             return;
         }
     }
 
+    void setStoreFaults(StoreFaults faults)
+    {
+        faults.hidesEra = m_options.plant == SoakPlant::HideEra;
+        m_store->setFaults(faults);
+    }
+
+    // Copies are kept periodically, so that the store loses what was written since the last one.
+    void keepStoreCopies()
+    {
+        constexpr milliseconds period{4000};
+        m_store->keepCopy();
+        later(steadyNow() + period, [this] { keepStoreCopies(); });
+    }
+
+    void stepStoreBack()
+    {
+        constexpr milliseconds rewriteDelay{1500};
+        const auto now = steadyNow();
+        m_store->stepBack();
+        m_ledger.disturbStore(now, now + rewriteDelay);
+        later(now + rewriteDelay, [this] { writeAgain(); });
+    }
+
+    // The operator writes again what the store may have lost.
+    void writeAgain()
+    {
+        m_store->configure(m_configuration);
+        for (const auto *zone : zones) {
+            if (m_evacuatedZones.contains(zone)) {
+                m_store->evacuate(zone);
+            } else {
+                m_store->endEvacuation(zone);
+            }
+        }
+    }
+
     void playOnLinks(const PlannedFault &fault, Node &node, TimePoint now, TimePoint until)
     {
         const auto onLinks = [&](const LinkFaults &faults) {
@@ -715,10 +760,12 @@
             constexpr milliseconds evacuation{8000}; ///< Longer than the time in which it must be in force.
             if (m_options.plant != SoakPlant::HideEvacuation) {
                 m_store->evacuate(zone);
+                m_evacuatedZones.insert(zone);
             }
             m_ledger.evacuated(zone, now);
             endAt(until + evacuation, [this, zone] {
                 m_store->endEvacuation(zone);
+                m_evacuatedZones.erase(zone);
                 m_ledger.takenBack(zone, steadyNow());
             });
             return;
@@ -816,6 +863,8 @@
     std::unique_ptr<SoakCallers> m_callers;
     std::size_t m_balancers = 0;
     std::vector<Endpoint> m_addresses; ///< Virtual ones, in the order of the routes.
+    OperatorConfiguration m_configuration; ///< Last one that was written.
+    std::set<std::string> m_evacuatedZones; ///< By the operator.
     std::uint64_t m_version = 0;
     bool m_flipped = false;
     bool m_storeFaulty = false;
--- a/lab/soak-run.h
+++ b/lab/soak-run.h
@@ -23,6 +23,7 @@
     HideConfiguration, ///< Nor do new configurations.
     KeepFaults, ///< Faults do not end.
     KillUnseen, ///< A process is killed that should live.
+    HideEra, ///< The store does not state its era.
 };
 
 struct SoakOptions
--- a/src/flow-snapshots.cc
+++ b/src/flow-snapshots.cc
@@ -41,7 +41,7 @@
             callAfter(options.retryDelay, &State::read);
             return;
         }
-        version = answer ? answer.value().version : 0;
+        version = answer ? positionOf(answer.value()) : StorePosition{};
         const bool isFirst = !std::exchange(isRead, true);
         if (answer && isFirst) {
             restore(answer.value());
@@ -64,19 +64,22 @@
             callAfter(options.period, &State::writeIfChanged);
             return;
         }
-        api.write(
-            {.kind = options.kind, .name = options.zone, .version = version, .value = {{flowsMember, *text}}},
-            {}, [self = shared_from_this()](const Answer<Object> &answer) {
-                if (!self->isStopped) {
-                    self->handleWritten(answer);
-                }
-            });
+        api.write({.kind = options.kind,
+                   .name = options.zone,
+                   .version = version.revision,
+                   .era = version.era,
+                   .value = {{flowsMember, *text}}},
+                  {}, [self = shared_from_this()](const Answer<Object> &answer) {
+                      if (!self->isStopped) {
+                          self->handleWritten(answer);
+                      }
+                  });
     }
 
     void handleWritten(const Answer<Object> &answer)
     {
         if (answer) {
-            version = answer.value().version;
+            version = positionOf(answer.value());
         } else if (answer.error().code == Code::PlatformConflict
                    || answer.error().code == Code::PlatformOutcomeUnknown) {
             // Another balancer keeps the snapshot too, or has kept it: the next write needs its version.
@@ -102,7 +105,7 @@
     FlowSnapshotOptions options;
     Events events;
     asio::steady_timer timer;
-    std::uint64_t version = 0; // Of the object in the store.
+    StorePosition version; // Of the object in the store.
     bool isReading = false;
     bool isRead = false; // The first read has succeeded.
     bool isStopped = false;
@@ -125,6 +128,13 @@
     m_state->read();
 }
 
+void FlowSnapshots::handleNewEra()
+{
+    if (m_state->isRead && !m_state->isReading) {
+        m_state->callAfter(m_state->options.retryDelay, &State::read);
+    }
+}
+
 void FlowSnapshots::retryNow()
 {
     if (!m_state->isRead && !m_state->isReading) {
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -1,6 +1,9 @@
 #include "oriolelever/http-client.h"
 
 #include <deque>
+#include <strings.h>
+#include <utility>
+
 #include <netinet/tcp.h>
 
 #include <asio/connect.hpp>
@@ -59,6 +62,15 @@
         }
     }
 
+    void abortCall()
+    {
+        asio::post(m_context, [self = shared_from_this(), callNumber = m_callNumber] {
+            if (self->m_busy && !self->m_closed && self->m_callNumber == callNumber) {
+                self->failCall();
+            }
+        });
+    }
+
     void close()
     {
         m_closed = true;
@@ -81,7 +93,11 @@
 
         asio::ip::tcp::socket socket;
         http_parser parser{};
+        const HttpClientOptions *options = nullptr; ///< For the callbacks of the parser.
         std::string body; ///< Of the answer, as far as received.
+        std::string headerName; ///< Of the header that is being received, as far as received.
+        bool isHeaderNameComplete = false; ///< Its value has begun.
+        std::string header; ///< See `HttpAnswer::header`.
         std::string output; ///< The serialized request; must outlive the write.
         std::array<char, readBufferBytes> input{};
         bool isComplete = false; ///< The answer was received completely.
@@ -97,6 +113,7 @@
             return;
         }
         m_busy = true;
+        ++m_callNumber;
         m_retried = false;
         startTimer(m_queue.front().timeout);
         startAttempt();
@@ -154,7 +171,10 @@
         const auto &call = m_queue.front();
         http_parser_init(&connection->parser, HTTP_RESPONSE);
         connection->parser.data = connection.get();
+        connection->options = &m_options;
         connection->body.clear();
+        connection->header.clear();
+        connection->headerName.clear();
         connection->isComplete = false;
         connection->output = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, m_host);
         if (!call.body.empty()) {
@@ -219,7 +239,8 @@
     void completeWithAnswer(const std::shared_ptr<Connection> &connection, bool keepAlive)
     {
         HttpAnswer answer{.status = static_cast<int>(connection->parser.status_code),
-                          .body = std::move(connection->body)};
+                          .body = std::move(connection->body),
+                          .header = std::move(connection->header)};
         if (keepAlive) {
             read(connection);
         } else {
@@ -236,6 +257,23 @@
                 static_cast<Connection *>(parser->data)->body.append(at, length);
                 return 0;
             };
+            callbacks.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
+                auto &receiving = *static_cast<Connection *>(parser->data);
+                if (std::exchange(receiving.isHeaderNameComplete, false)) {
+                    receiving.headerName.clear();
+                }
+                receiving.headerName.append(at, length);
+                return 0;
+            };
+            callbacks.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
+                auto &receiving = *static_cast<Connection *>(parser->data);
+                receiving.isHeaderNameComplete = true;
+                const auto &wanted = receiving.options->answerHeader;
+                if (!wanted.empty() && ::strcasecmp(receiving.headerName.c_str(), wanted.c_str()) == 0) {
+                    receiving.header.append(at, length);
+                }
+                return 0;
+            };
             callbacks.on_message_complete = [](http_parser *parser) {
                 // An interim answer (1xx) precedes the answer.
                 static_cast<Connection *>(parser->data)->isComplete = parser->status_code >= 200;
@@ -306,6 +344,7 @@
     std::string m_host;
     std::deque<HttpCall> m_queue; ///< The first is the current call.
     std::shared_ptr<Connection> m_connection; ///< Null when there is none.
+    std::uint64_t m_callNumber = 0; ///< Of the current call.
     bool m_busy = false; ///< A call is running or about to start.
     bool m_requestWritten = false; ///< Writing has begun; the server may receive the current call.
     bool m_answerStarted = false; ///< Bytes of the answer were received.
@@ -324,6 +363,11 @@
     m_session->close();
 }
 
+void HttpClient::abortCall()
+{
+    m_session->abortCall();
+}
+
 void HttpClient::send(HttpCall call)
 {
     m_session->enqueue(std::move(call));
--- a/src/http-service.cc
+++ b/src/http-service.cc
@@ -40,13 +40,14 @@
                                                  .path = std::string(request->header().path()),
                                                  .query = std::string(request->header().query()),
                                                  .body = request->body()});
-                     request
-                         ->create_response(restinio::http_status_line_t(
-                             restinio::http_status_code_t(static_cast<std::uint16_t>(reply.status)),
-                             reply.status < 300 ? "OK" : "Refused"))
-                         .append_header(restinio::http_field::content_type, reply.contentType)
-                         .set_body(reply.body)
-                         .done();
+                     auto response = request->create_response(restinio::http_status_line_t(
+                         restinio::http_status_code_t(static_cast<std::uint16_t>(reply.status)),
+                         reply.status < 300 ? "OK" : "Refused"));
+                     response.append_header(restinio::http_field::content_type, reply.contentType);
+                     for (const auto &[name, value] : reply.headers) {
+                         response.append_header(name, value);
+                     }
+                     response.set_body(reply.body).done();
                      return restinio::request_accepted();
                  });
          }},
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include <asio/steady_timer.hpp>
 
@@ -60,8 +61,8 @@
                 return;
             }
             self->handleSuccess();
-            self->hasListed = true;
             self->applyList(answer.value(), ChangeSource::List);
+            self->hasListed = true;
             self->watch();
         });
     }
@@ -69,30 +70,49 @@
     void applyList(const ObjectList &list, ChangeSource listSource)
     {
         source = listSource;
+        if (events.eraListed && hasListed && list.position.era != position.era) {
+            events.eraListed(describeEra(list));
+        }
         objects.clear();
         for (const auto &object : list.objects) {
             objects.insert_or_assign(object.name, object);
         }
-        revision = list.revision;
+        position = list.position;
         events.changed(objects);
     }
 
-    void catchUp(std::uint64_t laterRevision)
+    EraListing describeEra(const ObjectList &list) const
+    {
+        EraListing listing{.before = position, .after = list.position, .objects = list.objects.size()};
+        std::set<std::string_view> listedNames;
+        for (const auto &object : list.objects) {
+            listedNames.insert(object.name);
+        }
+        for (const auto &[name, object] : objects) {
+            listing.dropped += listedNames.contains(name) ? 0 : 1;
+        }
+        return listing;
+    }
+
+    void catchUp(StorePosition later)
     {
-        if (!hasListed || isCatchingUp || laterRevision <= revision
+        if (!hasListed || isCatchingUp || later <= position
             || std::chrono::steady_clock::now() < catchUpNotBefore) {
             return;
         }
         isCatchingUp = true;
-        api.list(options.kind, [self = shared_from_this(), laterRevision](const Answer<ObjectList> &answer) {
+        catchUpStart = std::chrono::steady_clock::now();
+        api.list(options.kind, [self = shared_from_this(), later](const Answer<ObjectList> &answer) {
             self->isCatchingUp = false;
             if (!answer) {
                 self->catchUpNotBefore = std::chrono::steady_clock::now() + self->options.maxRetryDelay;
+                self->reportFailure("catch_up", self->catchUpStart, answer.error(),
+                                    self->options.maxRetryDelay);
             }
-            if (self->isStopped || !answer || answer.value().revision <= self->revision) {
+            if (self->isStopped || !answer || answer.value().position <= self->position) {
                 return;
             }
-            self->changeRevision = std::max(self->changeRevision, laterRevision);
+            self->lastChange = std::max(self->lastChange, later);
             self->applyList(answer.value(), ChangeSource::Peer);
         });
     }
@@ -104,8 +124,8 @@
         const std::chrono::milliseconds usualWait(std::uniform_int_distribution<std::int64_t>(
             shortest.count(), options.watchTimeout.count())(random));
         callStart = std::chrono::steady_clock::now();
-        api.watch({options.kind}, revision, watchWait(failures, usualWait),
-                  [self = shared_from_this()](const Answer<WatchBatch> &answer) {
+        api.watch({options.kind}, position, watchWait(failures, usualWait),
+                  [self = shared_from_this(), after = position](const Answer<WatchBatch> &answer) {
                       if (self->isStopped) {
                           return;
                       }
@@ -114,13 +134,18 @@
                           return;
                       }
                       self->handleSuccess();
+                      if (answer.value().restart && self->position > after) {
+                          // `catchUp` has listed the objects meanwhile.
+                          self->watch();
+                          return;
+                      }
                       self->applyBatch(answer.value());
                   });
     }
 
     void applyBatch(const WatchBatch &batch)
     {
-        if (batch.restart || batch.revision < revision) {
+        if (batch.restart || batch.position < position) {
             list();
             return;
         }
@@ -131,9 +156,9 @@
                 objects.insert_or_assign(event.object.name, event.object);
             }
         }
-        revision = batch.revision;
+        position = batch.position;
         if (!batch.events.empty()) {
-            changeRevision = revision;
+            lastChange = position;
             source = ChangeSource::Watch;
             events.changed(objects);
         }
@@ -159,17 +184,24 @@
             backoff.maxRetryDelay = options.maxFirstListDelay;
         }
         const auto delay = followerBackoff(backoff, failures, randomFraction);
-        if (events.failed) {
-            const auto waited = std::chrono::steady_clock::now() - callStart;
-            events.failed({.call = call,
-                           .waited = std::chrono::duration_cast<std::chrono::milliseconds>(waited),
-                           .retryDelay = delay,
-                           .failures = failures,
-                           .text = error.text});
-        }
+        reportFailure(call, callStart, error, delay);
         callAfter(delay, nextCall);
     }
 
+    void reportFailure(std::string_view call, std::chrono::steady_clock::time_point start, const Error &error,
+                       std::chrono::milliseconds delay) const
+    {
+        if (!events.failed) {
+            return;
+        }
+        const auto waited = std::chrono::steady_clock::now() - start;
+        events.failed({.call = call,
+                       .waited = std::chrono::duration_cast<std::chrono::milliseconds>(waited),
+                       .retryDelay = delay,
+                       .failures = failures,
+                       .text = error.text});
+    }
+
     void retryNow()
     {
         if (pendingRetry != nullptr) {
@@ -195,11 +227,12 @@
     asio::steady_timer timer;
     std::minstd_rand random;
     Objects objects;
-    std::uint64_t revision = 0; // Of the store, at the last list or watch.
-    std::uint64_t changeRevision = 0; // Of the store, when the objects last changed.
+    StorePosition position; // Of the last list or watch.
+    StorePosition lastChange; // When the objects last changed.
     bool isCatchingUp = false;
     std::chrono::steady_clock::time_point catchUpNotBefore{};
     std::chrono::steady_clock::time_point callStart{}; // Of the last list or watch, without `catchUp`.
+    std::chrono::steady_clock::time_point catchUpStart{};
     ChangeSource source = ChangeSource::List;
     int failures = 0; // Consecutive failed calls.
     void (State::*pendingRetry)() = nullptr; // Call that waits to be made again.
@@ -224,9 +257,14 @@
     m_state->options.watchTimeout = timeout;
 }
 
-std::uint64_t ObjectFollower::changeRevision() const
+StorePosition ObjectFollower::lastChange() const
+{
+    return m_state->lastChange;
+}
+
+StorePosition ObjectFollower::position() const
 {
-    return m_state->changeRevision;
+    return m_state->position;
 }
 
 ChangeSource ObjectFollower::changeSource() const
@@ -234,9 +272,9 @@
     return m_state->source;
 }
 
-void ObjectFollower::catchUp(std::uint64_t revision)
+void ObjectFollower::catchUp(StorePosition position)
 {
-    m_state->catchUp(revision);
+    m_state->catchUp(position);
 }
 
 void ObjectFollower::retryNow()
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -9,10 +9,12 @@
 namespace {
 
 constexpr std::uint8_t messageVersion = 2;
+constexpr std::size_t eraTagOffset = 2; // Of a Hello and a Report: reason and flags, which these lack.
 constexpr std::size_t helloSize = peerHeaderSize + 35; // Bytes, as all sizes here.
 constexpr std::size_t reportSize = peerHeaderSize + 58;
 constexpr std::size_t filterSize = FlowFilter::wordCount * sizeof(std::uint64_t);
 static_assert(reportSize + filterSize <= maxPeerMessageSize && helloSize <= maxPeerMessageSize);
+constexpr std::uint32_t eraTagCount = 65'535; // Without the tag of an unknown era.
 constexpr std::uint8_t mayReturnBusyFlag = 1; // In the flags of the header: `PeerHeader::mayReturnBusy`.
 // In the first byte of a hello's body.
 constexpr std::uint8_t unlistedFlag = 1;
@@ -52,8 +54,42 @@
     return all;
 }
 
+EraTag eraTagOf(std::uint64_t era)
+{
+    return era == 0 ? EraTag{0} : static_cast<EraTag>(1 + era % eraTagCount);
+}
+
+bool isLaterEra(EraTag tag, EraTag other)
+{
+    if (tag == 0 || other == 0) {
+        return tag != 0;
+    }
+    const auto distance = (eraTagCount + tag - other) % eraTagCount;
+    return distance > 0 && distance < eraTagCount / 2;
+}
+
+StorePosition peerPosition(EraTag era, std::uint64_t revision, const StorePosition &known)
+{
+    const auto knownTag = eraTagOf(known.era);
+    if (era == knownTag) {
+        return {.era = known.era, .revision = revision};
+    }
+    if (!isLaterEra(era, knownTag)) {
+        return {};
+    }
+    const auto distance = knownTag == 0 ? era : (eraTagCount + era - knownTag) % eraTagCount;
+    return {.era = known.era + distance, .revision = revision};
+}
+
 void mergeRevisions(DocumentRevisions &revisions, const DocumentRevisions &others)
 {
+    if (isLaterEra(others.era, revisions.era)) {
+        revisions = others;
+        return;
+    }
+    if (others.era != revisions.era) {
+        return;
+    }
     revisions.configuration = std::max(revisions.configuration, others.configuration);
     revisions.evacuations = std::max(revisions.evacuations, others.evacuations);
 }
@@ -157,6 +193,7 @@
 std::size_t encodeHello(std::span<std::uint8_t> out, const Hello &hello)
 {
     encodePeerHeader(out, {.type = PeerMessageType::Hello, .number = hello.lifetime});
+    write16(out.data() + eraTagOffset, hello.documents.era);
     std::uint8_t *body = out.data() + peerHeaderSize;
     body[0] = static_cast<std::uint8_t>((hello.unlisted ? unlistedFlag : 0)
                                         | (hello.wantsFlows ? wantsFlowsFlag : 0));
@@ -185,13 +222,16 @@
     out.idleLimit = std::chrono::milliseconds(read32(body + 5));
     out.reportPeriod = std::chrono::milliseconds(read16(body + 9));
     out.zone.value = read64(body + 11);
-    out.documents = {.configuration = read64(body + 19), .evacuations = read64(body + 27)};
+    out.documents = {.era = read16(bytes.data() + eraTagOffset),
+                     .configuration = read64(body + 19),
+                     .evacuations = read64(body + 27)};
     return true;
 }
 
 std::size_t encodeReport(std::span<std::uint8_t> out, const Report &report)
 {
     encodePeerHeader(out, {.type = PeerMessageType::Report, .number = report.lifetime});
+    write16(out.data() + eraTagOffset, report.documents.era);
     std::uint8_t *body = out.data() + peerHeaderSize;
     write64(body, report.service.value);
     write64(body + 8, report.zone.value);
@@ -238,7 +278,9 @@
     out.bornAt = read64(body + 31);
     out.isFailing = (body[39] & failingFlag) != 0;
     out.balancers = read16(body + 40);
-    out.documents = {.configuration = read64(body + 42), .evacuations = read64(body + 50)};
+    out.documents = {.era = read16(bytes.data() + eraTagOffset),
+                     .configuration = read64(body + 42),
+                     .evacuations = read64(body + 50)};
     out.heldFlowFilter.reset();
     if (bytes.size() > reportSize) {
         body = bytes.data() + reportSize;
--- a/src/platform.cc
+++ b/src/platform.cc
@@ -127,7 +127,7 @@
     }
     const auto json = nlohmann::json::parse(answer.body, nullptr, false);
     ObjectList list;
-    if (!parseRevision(json, list.revision) || !json.contains("objects")) {
+    if (!parseRevision(json, list.position.revision) || !json.contains("objects")) {
         return malformedAnswer(subject);
     }
     for (const auto &item : json["objects"]) {
@@ -151,7 +151,7 @@
     }
     const auto json = nlohmann::json::parse(answer.body, nullptr, false);
     WatchBatch batch;
-    if (!parseRevision(json, batch.revision) || !json.contains("events")) {
+    if (!parseRevision(json, batch.position.revision) || !json.contains("events")) {
         return malformedAnswer(subject);
     }
     for (const auto &item : json["events"]) {
@@ -530,14 +530,14 @@
     });
 }
 
-void PlatformClient::watch(std::vector<std::string> kinds, std::uint64_t after,
+void PlatformClient::watch(std::vector<std::string> kinds, StorePosition after,
                            std::chrono::milliseconds wait, Done<WatchBatch> done)
 {
     const auto joined = fmt::format("{}", fmt::join(kinds, ","));
     m_transfers->submit({
         .method = "GET",
-        .path
-        = fmt::format("/v1/watch?kinds={}&after={}&wait_ms={}", fmt::join(kinds, "%2C"), after, wait.count()),
+        .path = fmt::format("/v1/watch?kinds={}&after={}&wait_ms={}", fmt::join(kinds, "%2C"), after.revision,
+                            wait.count()),
         .timeout = wait + m_transfers->options().timeout,
         .done = [subject = fmt::format("watch of \"{}\"", joined),
                  done = std::move(done)](const HttpAnswer &answer) { done(watchAnswer(answer, subject)); },
--- a/src/presence.cc
+++ b/src/presence.cc
@@ -36,20 +36,21 @@
     {
     }
 
-    Object ownObject(std::uint64_t version) const
+    Object ownObject(const StorePosition &version) const
     {
         return {.kind = options.kind,
                 .name = options.name,
-                .version = version,
+                .version = version.revision,
+                .era = version.era,
                 .value = {{hostMember, toString(options.host)}}};
     }
 
     void create()
     {
-        write(0);
+        write({});
     }
 
-    void write(std::uint64_t version)
+    void write(const StorePosition &version)
     {
         lastWrite = std::chrono::steady_clock::now();
         api.write(ownObject(version), {}, [self = shared_from_this()](const Answer<Object> &answer) {
@@ -82,14 +83,14 @@
             if (parsePresence(answer.value(), host) && host == self->options.host) {
                 self->handleWritten(answer.value());
             } else {
-                self->write(answer.value().version);
+                self->write(positionOf(answer.value()));
             }
         });
     }
 
     void handleWritten(const Object &object)
     {
-        version = object.version;
+        version = positionOf(object);
         failures = 0;
         events.entry(true, options.name);
         if (!hasListed) {
@@ -154,6 +155,29 @@
         task.retry = nextCall;
     }
 
+    void handleNewEra()
+    {
+        const double randomFraction = std::uniform_real_distribution<double>(0, 1)(random);
+        const auto delay
+            = std::chrono::duration_cast<std::chrono::milliseconds>(randomFraction * options.eraSpread);
+        hasListed = false;
+        callAfter(writing, delay, &State::create);
+    }
+
+    // Removes the own entry at the version in the store, which is not the one that this process wrote.
+    void removeStored(std::function<void()> done)
+    {
+        api.read(options.kind, options.name,
+                 [self = shared_from_this(), done = std::move(done)](const Answer<Object> &answer) {
+                     IpAddress host;
+                     if (!answer || !parsePresence(answer.value(), host) || host != self->options.host) {
+                         done();
+                         return;
+                     }
+                     self->api.remove(answer.value(), [done](const Answer<std::uint64_t> &) { done(); });
+                 });
+    }
+
     void retryNow()
     {
         for (auto *task : {&writing, &listing}) {
@@ -189,7 +213,7 @@
     Task writing; // Of the own entry.
     Task listing;
     std::minstd_rand random;
-    std::uint64_t version = 0; // Of the own entry in the store.
+    StorePosition version; // Of the own entry in the store.
     std::chrono::steady_clock::time_point lastWrite{};
     int failures = 0; // Consecutive failed calls.
     bool hasListed = false;
@@ -220,6 +244,11 @@
     }
 }
 
+void Presence::handleNewEra()
+{
+    m_state->handleNewEra();
+}
+
 void Presence::retryNow()
 {
     m_state->retryNow();
@@ -230,7 +259,13 @@
     m_state->isStopped = true;
     m_state->cancelTimers();
     m_state->api.remove(m_state->ownObject(m_state->version),
-                        [done = std::move(done)](const Answer<std::uint64_t> &) { done(); });
+                        [state = m_state, done = std::move(done)](const Answer<std::uint64_t> &answer) {
+                            if (!answer && answer.error().code == Code::PlatformConflict) {
+                                state->removeStored(done);
+                                return;
+                            }
+                            done();
+                        });
 }
 
 EntryRemoval::EntryRemoval(Presence &presence, std::function<bool()> isDecommissioned)
--- a/src/process-metrics.cc
+++ b/src/process-metrics.cc
@@ -45,6 +45,16 @@
                         .Help("How late the event loop was in the last second")
                         .Register(registry)
                         .Add({}))
+        , eraChanges(prometheus::BuildCounter()
+                         .Name("oriolelever_store_era_changes_total")
+                         .Help("How often the platform's store has come back from an older copy")
+                         .Register(registry)
+                         .Add({}))
+        , era(prometheus::BuildGauge()
+                  .Name("oriolelever_store_era")
+                  .Help("Era of the platform's store after its last change; 0 before")
+                  .Register(registry)
+                  .Add({}))
         , memory(prometheus::BuildGauge()
                      .Name("oriolelever_resident_memory_bytes")
                      .Help("Resident memory")
@@ -62,6 +72,8 @@
     prometheus::Histogram &callTime;
     prometheus::Family<prometheus::Gauge> &answerAge;
     prometheus::Gauge &loopDelay;
+    prometheus::Counter &eraChanges;
+    prometheus::Gauge &era;
     prometheus::Gauge &memory;
     prometheus::Gauge &suppressed;
 };
@@ -92,6 +104,12 @@
     }
 }
 
+void ProcessMetrics::recordEra(std::uint64_t era)
+{
+    m_families->eraChanges.Increment();
+    m_families->era.Set(static_cast<double>(era));
+}
+
 void ProcessMetrics::update(TimePoint now, Duration delay)
 {
     m_families->loopDelay.Set(seconds(delay));
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -139,14 +139,14 @@
 bool SteeringNode::isReady() const
 {
     const auto now = steadyNow();
-    return m_state.hasTable && m_hasEvacuations && m_state.hasAgentList && hasInitialReports(m_state, now)
-        && !isIsolated(m_state, now) && !m_isDraining;
+    return m_state.hasTable && m_state.hasEvacuations && m_state.hasAgentList
+        && hasInitialReports(m_state, now) && !isIsolated(m_state, now) && !m_isDraining;
 }
 
 void SteeringNode::setTable(RoutingTable table)
 {
     const auto now = steadyNow();
-    const auto revision = table.revision;
+    const auto position = table.position;
     const auto version = table.version;
     const auto routes = table.routes.size();
     const auto previous = m_state.table.version;
@@ -154,24 +154,29 @@
     for (const auto &[service, rate] : table.coldFlowsPerSecond) {
         coldRates += fmt::format("{}{}", coldRates.empty() ? "" : ",", rate);
     }
-    const bool isApplied = applyTable(m_state, std::move(table));
-    m_log.write(now, isApplied ? "configuration_in_force" : "configuration_ignored", "version", version,
-                "revision", revision, "before", previous, "routes", routes, "cold_rates", coldRates);
+    const auto outcome = applyTable(m_state, std::move(table), now);
+    const std::string_view event = outcome == TableOutcome::InForce ? "configuration_in_force"
+        : outcome == TableOutcome::Held                             ? "configuration_held"
+                                                                    : "configuration_ignored";
+    m_log.write(now, event, "version", version, "era", position.era, "revision", position.revision, "before",
+                previous, "routes", routes, "cold_rates", coldRates);
     m_counters->version.Set(static_cast<double>(m_state.table.version));
 }
 
-void SteeringNode::setEvacuatedZones(const std::set<std::string> &zones)
+void SteeringNode::setEvacuatedZones(const std::set<std::string> &zones, const StorePosition &position)
 {
+    const auto now = steadyNow();
     std::unordered_set<ZoneId> evacuatedZones;
     for (const auto &zone : zones) {
         evacuatedZones.insert(idOf<ZoneId>(zone));
     }
-    m_hasEvacuations = true;
-    if (evacuatedZones == m_state.evacuatedZones) {
+    const auto before = m_state.evacuatedZones;
+    applyEvacuations(m_state, std::move(evacuatedZones), position, now);
+    if (before == m_state.evacuatedZones) {
         return;
     }
-    m_state.evacuatedZones = std::move(evacuatedZones);
-    m_log.write(steadyNow(), "evacuations_in_force", "zones", fmt::format("{}", fmt::join(zones, ",")));
+    m_log.write(now, "evacuations_in_force", "zones", fmt::format("{}", fmt::join(zones, ",")), "held",
+                m_state.hold.zones.size(), "era", position.era, "revision", position.revision);
 }
 
 void SteeringNode::setListedAgents(const std::vector<IpAddress> &hosts)
@@ -366,6 +371,11 @@
     m_agentSocket.flush();
 }
 
+void SteeringNode::renewSnapshot()
+{
+    m_hasRegistryChanged = true;
+}
+
 std::optional<std::string> SteeringNode::changedSnapshot()
 {
     if (!std::exchange(m_hasRegistryChanged, false)) {
@@ -482,6 +492,12 @@
     }
     resolveUnknownFlows(now);
     m_agentSocket.flush();
+    if (endHold(m_state, now)) {
+        m_log.write(now, "era_hold_ended", "version", m_state.table.version, "era",
+                    m_state.table.position.era, "revision", m_state.table.position.revision,
+                    "evacuated_zones", m_state.evacuatedZones.size());
+        m_counters->version.Set(static_cast<double>(m_state.table.version));
+    }
     if (now - m_lastExpiryAt > expiryPeriod) {
         m_lastExpiryAt = now;
         expireFlows(m_state, now);
--- a/src/watch.cc
+++ b/src/watch.cc
@@ -38,14 +38,15 @@
 void deleteMissing(const Entries &entries, RecordKind kind, const ObjectList &list,
                    std::vector<Record> &records)
 {
+    const RecordVersion listVersion{list.position.era, list.position.revision};
     for (const auto &entry : entries) {
         const std::string &name = entry.first;
         const bool listed = std::any_of(list.objects.begin(), list.objects.end(),
                                         [&](const Object &object) { return object.name == name; });
-        if (listed || entry.second.version.sequence >= list.revision) {
+        if (listed || entry.second.version >= listVersion) {
             continue;
         }
-        records.push_back({.key = {kind, name}, .version = {0, list.revision}, .deleted = true});
+        records.push_back({.key = {kind, name}, .version = listVersion, .deleted = true});
     }
 }
 
@@ -62,7 +63,7 @@
     if (!kind) {
         return std::nullopt;
     }
-    Record record{.key = {*kind, object.name}, .version = {0, object.version}, .deleted = deleted};
+    Record record{.key = {*kind, object.name}, .version = {object.era, object.version}, .deleted = deleted};
     if (!deleted) {
         record.value = object.value.dump();
     }
@@ -116,7 +117,7 @@
 
 void PlatformWatch::start()
 {
-    m_listedRevision = UINT64_MAX;
+    m_listedPosition = {.era = UINT64_MAX, .revision = UINT64_MAX};
     list(0);
 }
 
@@ -130,7 +131,7 @@
 {
     const auto kinds = configurationKinds();
     if (kind == kinds.size()) {
-        m_lastRevision = m_listedRevision;
+        m_lastPosition = m_listedPosition;
         watch();
         return;
     }
@@ -145,7 +146,7 @@
         }
         self->m_failures = 0;
         const auto &list = answer.value();
-        self->m_listedRevision = std::min(self->m_listedRevision, list.revision);
+        self->m_listedPosition = std::min(self->m_listedPosition, list.position);
         self->m_sink(makeListRecords(self->m_view(), configurationKinds()[kind], list));
         self->list(kind + 1);
     });
@@ -154,7 +155,7 @@
 void PlatformWatch::watch()
 {
     ++m_calls;
-    m_api.watch(configurationKinds(), m_lastRevision, watchWait(m_failures, m_watchTimeout),
+    m_api.watch(configurationKinds(), m_lastPosition, watchWait(m_failures, m_watchTimeout),
                 [self = shared_from_this()](const Answer<WatchBatch> &answer) {
                     if (self->m_stopped) {
                         return;
@@ -165,7 +166,7 @@
                     }
                     self->m_failures = 0;
                     const auto &batch = answer.value();
-                    if (batch.restart || batch.revision < self->m_lastRevision) {
+                    if (batch.restart || batch.position < self->m_lastPosition) {
                         watchLog().warn("platform skipped changes of the watch; listing all rows again");
                         self->retry([self] { self->start(); });
                         return;
@@ -176,7 +177,7 @@
                             records.push_back(std::move(*record));
                         }
                     }
-                    self->m_lastRevision = batch.revision;
+                    self->m_lastPosition = batch.position;
                     self->m_sink(records);
                     self->watch();
                 });
--- a/test/documents-test.cc
+++ b/test/documents-test.cc
@@ -60,11 +60,12 @@
 TEST(DocumentsTest, ReadsTheConfiguration)
 {
     std::string problems;
-    const auto table = decodeConfiguration(nlohmann::json::parse(configuration), 31, problems);
+    const auto table
+        = decodeConfiguration(nlohmann::json::parse(configuration), {.era = 2, .revision = 31}, problems);
     ASSERT_TRUE(table);
     EXPECT_EQ(problems, "");
     EXPECT_EQ(table->version, 7U);
-    EXPECT_EQ(table->revision, 31U);
+    EXPECT_EQ(table->position, (StorePosition{.era = 2, .revision = 31}));
     EXPECT_EQ(table->idleLimit, milliseconds(15'000));
     ASSERT_EQ(table->routes.size(), 3U);
     const auto &split = table->routes.at(endpoint("198.18.0.1:8443"));
@@ -82,7 +83,7 @@
     json["Routes"][0]["PathPrefix"] = "/not-a-port/";
     json["Routes"][1]["Split"] = 3;
     std::string problems;
-    const auto table = decodeConfiguration(json, 1, problems);
+    const auto table = decodeConfiguration(json, {.revision = 1}, problems);
     ASSERT_TRUE(table);
     EXPECT_EQ(table->routes.size(), 1U);
     EXPECT_NE(problems.find("r-1"), std::string::npos);
@@ -93,7 +94,7 @@
 {
     std::string problems;
     for (const char *text : {"null", "[]", R"({"Version":1})", R"({"Version":"1","Routes":[]})"}) {
-        EXPECT_NE(errorOf([&] { return decodeConfiguration(nlohmann::json::parse(text), 1, problems); }), "")
+        EXPECT_NE(errorOf([&] { return decodeConfiguration(nlohmann::json::parse(text), {}, problems); }), "")
             << text;
     }
 }
--- a/test/fakes.h
+++ b/test/fakes.h
@@ -70,7 +70,7 @@
         answerWatches();
     }
 
-    void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds,
+    void watch(std::vector<std::string> kinds, StorePosition after, std::chrono::milliseconds,
                Done<WatchBatch> done) override
     {
         ++watches;
@@ -109,7 +109,7 @@
     struct WaitingWatch
     {
         std::vector<std::string> kinds;
-        std::uint64_t after = 0;
+        StorePosition after;
         Done<WatchBatch> done;
     };
 
@@ -124,7 +124,7 @@
 
     ObjectList objectsOf(const std::string &kind) const
     {
-        ObjectList list{.revision = revision};
+        ObjectList list{.position = {.revision = revision}};
         for (const auto &[key, object] : m_objects) {
             if (key.first == kind) {
                 list.objects.push_back(object);
@@ -138,12 +138,12 @@
     {
         std::vector<WaitingWatch> unansweredWatches;
         for (auto &waiting : std::exchange(m_waitingWatches, {})) {
-            WatchBatch batch{.revision = revision};
+            WatchBatch batch{.position = {.revision = revision}};
             for (const auto &event : m_events) {
                 const bool isWatched
                     = std::find(waiting.kinds.begin(), waiting.kinds.end(), event.object.kind)
                     != waiting.kinds.end();
-                if (isWatched && event.object.version > waiting.after) {
+                if (isWatched && event.object.version > waiting.after.revision) {
                     batch.events.push_back(event);
                 }
             }
@@ -168,7 +168,7 @@
 public:
     using FakeObjectApi::FakeObjectApi;
 
-    void watch(std::vector<std::string> kinds, std::uint64_t after, std::chrono::milliseconds wait,
+    void watch(std::vector<std::string> kinds, StorePosition after, std::chrono::milliseconds wait,
                Done<WatchBatch> done) override
     {
         waits.push_back(wait);
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -223,10 +223,10 @@
     // Gives the balancer what it would read from the store, and waits for the first report of each agent.
     void connectAgents()
     {
-        RoutingTable table{.revision = 1, .version = 1};
+        RoutingTable table{.position = {.revision = 1}, .version = 1};
         table.routes[service] = {.services = {{idOf<ServiceId>(serviceName), 1}}};
         balancer->setTable(table);
-        balancer->setEvacuatedZones({});
+        balancer->setEvacuatedZones({}, {});
         std::vector<IpAddress> listed;
         for (const auto &host : hosts) {
             listed.push_back(host->relayEndpoint.address);
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -24,7 +24,7 @@
                       .unlisted = true,
                       .wantsFlows = true,
                       .zone = idOf<ZoneId>("bergamo"),
-                      .documents = {.configuration = 70'000'000'000, .evacuations = 12},
+                      .documents = {.era = 65'535, .configuration = 70'000'000'000, .evacuations = 12},
                       .reportPeriod = std::chrono::milliseconds(1000)};
     const auto size = encodeHello(buffer, hello);
     Hello decoded;
@@ -46,7 +46,7 @@
                         .bornAt = 1'700'000'000'000,
                         .isFailing = true,
                         .balancers = 59,
-                        .documents = {.configuration = 7, .evacuations = 80'000'000'000}};
+                        .documents = {.era = 3, .configuration = 7, .evacuations = 80'000'000'000}};
     const auto size = encodeReport(buffer, report);
     Report decoded;
     ASSERT_TRUE(decodeReport({buffer.data(), size}, decoded));
@@ -56,6 +56,50 @@
     EXPECT_FALSE(decodeReport({buffer.data(), size}, decoded)) << "invalid state";
 }
 
+TEST(PeerMessageTest, TheEraLeavesTheRestOfAMessageAsProcessesWithoutErasReadIt)
+{
+    constexpr std::size_t eraOffset = 2;
+    Hello hello{.lifetime = 5, .documents = {.configuration = 7, .evacuations = 8}};
+    auto withoutEra = buffer;
+    const auto size = encodeHello(withoutEra, hello);
+    hello.documents.era = 0x0907;
+    EXPECT_EQ(encodeHello(buffer, hello), size);
+    EXPECT_EQ(buffer[eraOffset], 9);
+    EXPECT_EQ(buffer[eraOffset + 1], 7);
+    buffer[eraOffset] = buffer[eraOffset + 1] = 0;
+    EXPECT_TRUE(std::equal(withoutEra.begin(), withoutEra.begin() + size, buffer.begin()));
+}
+
+TEST(PeerMessageTest, TheLaterEraGoesBeforeTheHigherRevision)
+{
+    DocumentRevisions known{.era = 4, .configuration = 900, .evacuations = 800};
+    mergeRevisions(known, {.era = 5, .configuration = 10});
+    EXPECT_EQ(known, (DocumentRevisions{.era = 5, .configuration = 10, .evacuations = 0}));
+    mergeRevisions(known, {.era = 4, .configuration = 901, .evacuations = 801});
+    mergeRevisions(known, {.configuration = 902});
+    EXPECT_EQ(known, (DocumentRevisions{.era = 5, .configuration = 10, .evacuations = 0}));
+    mergeRevisions(known, {.era = 5, .configuration = 9, .evacuations = 11});
+    EXPECT_EQ(known, (DocumentRevisions{.era = 5, .configuration = 10, .evacuations = 11}));
+}
+
+TEST(PeerMessageTest, ErasAreOrderedByTheirTags)
+{
+    EXPECT_EQ(eraTagOf(0), 0);
+    for (const std::uint64_t era : {1ULL, 7ULL, 65'534ULL, 65'535ULL, 1'700'000'000'000ULL}) {
+        EXPECT_NE(eraTagOf(era), 0) << era;
+        EXPECT_TRUE(isLaterEra(eraTagOf(era + 1), eraTagOf(era))) << era;
+        EXPECT_FALSE(isLaterEra(eraTagOf(era), eraTagOf(era + 1))) << era;
+        EXPECT_FALSE(isLaterEra(eraTagOf(era), eraTagOf(era))) << era;
+        EXPECT_TRUE(isLaterEra(eraTagOf(era), 0)) << era;
+        const StorePosition known{.era = era, .revision = 50};
+        EXPECT_EQ(peerPosition(eraTagOf(era + 2), 9, known), (StorePosition{era + 2, 9})) << era;
+        EXPECT_EQ(peerPosition(eraTagOf(era), 60, known), (StorePosition{era, 60})) << era;
+        EXPECT_EQ(peerPosition(eraTagOf(era - 1), 60, known), StorePosition{}) << era;
+        EXPECT_EQ(peerPosition(0, 60, known), StorePosition{}) << era;
+    }
+    EXPECT_EQ(peerPosition(0, 60, {.revision = 50}), (StorePosition{0, 60})) << "a store without eras";
+}
+
 TEST(PeerMessageTest, AReportMayCarryAFilterOfAllFlows)
 {
     FlowKey held;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -57,7 +57,8 @@
 
     Answer<WatchBatch> watch(std::uint64_t after, std::chrono::milliseconds limit)
     {
-        return wait<WatchBatch>([&](auto done) { m_client.watch({"zone"}, after, limit, done); });
+        return wait<WatchBatch>(
+            [&](auto done) { m_client.watch({"zone"}, {.revision = after}, limit, done); });
     }
 
     lab::PlatformStandin m_standin{{}};
@@ -120,7 +121,7 @@
     const auto batch = watch(0, 1s);
     ASSERT_EQ(batch.value().events.size(), 1U);
     EXPECT_EQ(batch.value().events[0].object.version, created.value().version);
-    EXPECT_TRUE(watch(batch.value().revision, 10ms).value().events.empty());
+    EXPECT_TRUE(watch(batch.value().position.revision, 10ms).value().events.empty());
     m_standin.setFaults({{"end_watches", true}});
     EXPECT_TRUE(watch(0, 10ms).value().restart);
 }
@@ -128,7 +129,9 @@
 TEST_F(PlatformClientTest, WatchOfSeveralKindsReportsChanges)
 {
     write(zone("in"));
-    const auto batch = wait<WatchBatch>([&](auto done) { m_client.watch({"service", "zone"}, 0, 1s, done); });
+    const auto batch = wait<WatchBatch>([&](auto done) {
+        m_client.watch({"service", "zone"}, {}, 1s, done);
+    });
     ASSERT_TRUE(batch);
     EXPECT_EQ(batch.value().events.size(), 1U);
 }
--- a/test/presence-test.cc
+++ b/test/presence-test.cc
@@ -111,7 +111,7 @@
 public:
     using FakeObjectApi::FakeObjectApi;
 
-    void watch(std::vector<std::string>, std::uint64_t, std::chrono::milliseconds, Done<WatchBatch>) override
+    void watch(std::vector<std::string>, StorePosition, std::chrono::milliseconds, Done<WatchBatch>) override
     {
         ++watches;
     }
@@ -138,15 +138,15 @@
                                  }});
     follower.start();
     runUntil(context, [&] { return seen == 1; });
-    EXPECT_EQ(follower.changeRevision(), 0U) << "a first list is no change";
-    follower.catchUp(api.revision);
+    EXPECT_EQ(follower.lastChange(), StorePosition{}) << "a first list is no change";
+    follower.catchUp({.revision = api.revision});
     EXPECT_EQ(api.lists, 1) << "nothing has changed since the list";
     api.put("config", "main", R"({"Version":2})");
-    follower.catchUp(api.revision);
-    follower.catchUp(api.revision);
+    follower.catchUp({.revision = api.revision});
+    follower.catchUp({.revision = api.revision});
     runUntil(context, [&] { return seen == 2; });
     EXPECT_EQ(api.lists, 2);
-    EXPECT_EQ(follower.changeRevision(), api.revision);
+    EXPECT_EQ(follower.lastChange(), (StorePosition{.revision = api.revision}));
     EXPECT_EQ(api.watches, 1U) << "the watch goes on";
 }
 
@@ -163,9 +163,9 @@
     follower.start();
     runUntil(context, [&] { return changes == 1; });
     api.down = true;
-    follower.catchUp(api.revision + 1);
+    follower.catchUp({.revision = api.revision + 1});
     context.poll();
-    follower.catchUp(api.revision + 1);
+    follower.catchUp({.revision = api.revision + 1});
     EXPECT_EQ(api.lists, 2);
 }
 
--- a/test/records-test.cc
+++ b/test/records-test.cc
@@ -207,10 +207,11 @@
     const auto &view = m_processes[0]->records.view();
     Object older{.kind = "zone", .name = "bergamo", .version = 1};
     older.value = nlohmann::json::parse(zoneJson(ZoneState::In));
-    for (const auto &record : makeListRecords(view, "zone", {.objects = {older}, .revision = 1})) {
+    for (const auto &record :
+         makeListRecords(view, "zone", {.objects = {older}, .position = {.revision = 1}})) {
         m_processes[0]->records.publish(record);
     }
-    for (const auto &record : makeListRecords(view, "zone", {.revision = 0})) {
+    for (const auto &record : makeListRecords(view, "zone", ObjectList{})) {
         m_processes[0]->records.publish(record);
     }
     EXPECT_TRUE(isZoneOut(view, "bergamo"));
@@ -249,7 +250,7 @@
     ClusterView view;
     view.zones["a"] = {.row = {.name = "a"}, .version = {0, 5}};
     view.zones["b"] = {.row = {.name = "b"}, .version = {0, 9}};
-    const auto records = makeListRecords(view, "zone", {.revision = 7});
+    const auto records = makeListRecords(view, "zone", {.position = {.revision = 7}});
     ASSERT_EQ(records.size(), 1U);
     EXPECT_EQ(records[0].key.name, "a");
     EXPECT_TRUE(records[0].deleted);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -33,10 +33,10 @@
     SteeringTest()
     {
         state.options.zone = idOf<ZoneId>("a");
-        RoutingTable table{.revision = 10, .version = 1};
+        RoutingTable table{.position = {.revision = 10}, .version = 1};
         table.routes[virtualAddress] = {.services = {{idOf<ServiceId>(serviceName), 1}}};
         table.idleLimit = milliseconds(15'000);
-        EXPECT_TRUE(applyTable(state, table));
+        EXPECT_EQ(applyTable(state, table, now), TableOutcome::InForce);
     }
 
     // Applies a list of the agents' entries.
@@ -549,17 +549,64 @@
 
 TEST_F(SteeringTest, AnOlderConfigurationIsIgnored)
 {
-    RoutingTable older{.revision = 9, .version = 0};
-    EXPECT_FALSE(applyTable(state, older));
+    RoutingTable older{.position = {.revision = 9}, .version = 0};
+    EXPECT_EQ(applyTable(state, older, now), TableOutcome::Older);
     EXPECT_EQ(state.table.version, 1U);
 }
 
+// The store has come back from a copy that lacks the configuration in force.
+TEST_F(SteeringTest, AConfigurationThatTheStoreHasLostStaysInForceUntilItIsWrittenAgain)
+{
+    EXPECT_EQ(applyTable(state, {.position = {1, 12}, .version = 24}, now), TableOutcome::InForce);
+    EXPECT_EQ(applyTable(state, {.position = {2, 9}, .version = 18}, now), TableOutcome::Held);
+    EXPECT_EQ(applyTable(state, {.position = {2, 10}, .version = 21}, now), TableOutcome::Held);
+    EXPECT_EQ(state.table.version, 24U);
+    EXPECT_EQ(applyTable(state, {.position = {2, 11}, .version = 24}, now), TableOutcome::InForce);
+    EXPECT_EQ(state.table.position, (StorePosition{2, 11}));
+    EXPECT_FALSE(endHold(state, now + state.options.eraHoldTime));
+    EXPECT_EQ(applyTable(state, {.position = {1, 90}, .version = 27}, now), TableOutcome::Older);
+}
+
+TEST_F(SteeringTest, AConfigurationThatIsNotWrittenAgainIsHeldForALimitedTime)
+{
+    EXPECT_EQ(applyTable(state, {.position = {1, 12}, .version = 24}, now), TableOutcome::InForce);
+    EXPECT_EQ(applyTable(state, {.position = {2, 9}, .version = 18}, now), TableOutcome::Held);
+    const auto end = now + state.options.eraHoldTime;
+    EXPECT_FALSE(endHold(state, end - milliseconds(1)));
+    EXPECT_TRUE(endHold(state, end));
+    EXPECT_EQ(state.table.version, 18U);
+    EXPECT_FALSE(endHold(state, end));
+}
+
+TEST_F(SteeringTest, AnEvacuationThatTheStoreHasLostStaysInForceUntilItIsWrittenAgain)
+{
+    const auto a = idOf<ZoneId>("a");
+    const auto b = idOf<ZoneId>("b");
+    const auto c = idOf<ZoneId>("c");
+    applyEvacuations(state, {a, b}, {1, 10}, now);
+    applyEvacuations(state, {c}, {2, 9}, now);
+    EXPECT_EQ(state.evacuatedZones, (std::unordered_set<ZoneId>{a, b, c}));
+    applyEvacuations(state, {a, c}, {2, 10}, now);
+    EXPECT_EQ(state.evacuatedZones, (std::unordered_set<ZoneId>{a, b, c}));
+    applyEvacuations(state, {c}, {2, 11}, now);
+    EXPECT_EQ(state.evacuatedZones, (std::unordered_set<ZoneId>{b, c})) << "a was written again and removed";
+    EXPECT_TRUE(endHold(state, now + state.options.eraHoldTime));
+    EXPECT_EQ(state.evacuatedZones, std::unordered_set<ZoneId>{c}) << "b was not written again";
+}
+
+TEST_F(SteeringTest, AFirstListOfEvacuationsHoldsNothing)
+{
+    applyEvacuations(state, {}, {3, 9}, now);
+    EXPECT_TRUE(state.evacuatedZones.empty());
+    EXPECT_FALSE(endHold(state, now + state.options.eraHoldTime));
+}
+
 TEST_F(SteeringTest, FlowsOfARemovedRouteAreResetAtOnce)
 {
     reportThreeReady();
     open(1);
-    RoutingTable next{.revision = 11, .version = 2};
-    EXPECT_TRUE(applyTable(state, next));
+    RoutingTable next{.position = {.revision = 11}, .version = 2};
+    EXPECT_EQ(applyTable(state, next, now), TableOutcome::InForce);
     EXPECT_EQ(data(1).cause, SteeringCause::NoRoute);
     EXPECT_EQ(open(2).action, SteeringAction::Reset);
 }
@@ -578,10 +625,10 @@
 TEST_F(SteeringTest, SharesOfAWeightedRouteAreKept)
 {
     reportThreeReady();
-    RoutingTable table{.revision = 11, .version = 2};
+    RoutingTable table{.position = {.revision = 11}, .version = 2};
     table.routes[virtualAddress]
         = {.services = {{idOf<ServiceId>(serviceName), 90}, {idOf<ServiceId>("archivio"), 10}}};
-    EXPECT_TRUE(applyTable(state, table));
+    EXPECT_EQ(applyTable(state, table, now), TableOutcome::InForce);
     report("10.0.0.3", {.service = idOf<ServiceId>("archivio"), .state = BackendState::Ready, .slots = 2});
     int other = 0;
     constexpr int flows = 2000;
@@ -664,10 +711,10 @@
 TEST_F(SteeringTest, AnotherServiceOfTheRouteStandsInOnlyWithFreeSlots)
 {
     listAgents({"10.0.0.1"});
-    RoutingTable table{.revision = 11, .version = 2};
+    RoutingTable table{.position = {.revision = 11}, .version = 2};
     table.routes[virtualAddress]
         = {.services = {{idOf<ServiceId>(serviceName), 90}, {idOf<ServiceId>("archivio"), 10}}};
-    EXPECT_TRUE(applyTable(state, table));
+    EXPECT_EQ(applyTable(state, table, now), TableOutcome::InForce);
     report("10.0.0.1", {.service = idOf<ServiceId>("archivio"), .state = BackendState::Ready, .slots = 4});
     int taken = 0;
     for (std::uint16_t port = 1; port <= 100; ++port) {
@@ -1026,9 +1073,9 @@
         const TimePoint now{std::chrono::hours(1)};
         SteeringState state;
         state.options.zone = idOf<ZoneId>("a");
-        RoutingTable table{.revision = 1};
+        RoutingTable table{.position = {.revision = 1}};
         table.routes[service] = {.services = {{idOf<ServiceId>(serviceName), 1}}};
-        applyTable(state, table);
+        applyTable(state, table, now);
         state.hasAgentList = true;
         for (int server = 1; server <= serverCount; ++server) {
             const auto host = address("10.0.0." + std::to_string(server));
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -41,9 +41,12 @@
         client = std::make_unique<StoreClient>(context, loopback(service.port()));
     }
 
-    void addReply(int status, const json &body)
+    void addReply(int status, const json &body, const std::string &era = {})
     {
         replies.push_back({.status = status, .body = body.dump()});
+        if (!era.empty()) {
+            replies.back().headers.emplace_back("store-era", era);
+        }
     }
 
     template<typename T>
@@ -112,7 +115,7 @@
     const auto list = wait(listed);
     ASSERT_TRUE(list);
     EXPECT_EQ(list.value().objects.size(), 3U);
-    EXPECT_EQ(list.value().revision, 9U) << "a watch after the first page misses no later change";
+    EXPECT_EQ(list.value().position.revision, 9U) << "a watch after the first page misses no later change";
 }
 
 TEST_F(StoreClientTest, APageOfForeignObjectsDoesNotEndTheList)
@@ -125,10 +128,64 @@
     const auto list = wait(listed);
     ASSERT_TRUE(list);
     ASSERT_EQ(list.value().objects.size(), 1U);
-    EXPECT_EQ(list.value().revision, 9U) << "of the first page";
+    EXPECT_EQ(list.value().position.revision, 9U) << "of the first page";
     EXPECT_EQ(requests[1].query, "after=f%2F1%20%26%3F");
 }
 
+TEST_F(StoreClientTest, PagesOfTwoErasAreNoList)
+{
+    addReply(200, {{"items", {storedObject("a", 3, 1)}}, {"More", true}, {"StoreRevision", 9}}, "1");
+    addReply(200, {{"items", {storedObject("c", 5, 3)}}, {"More", false}, {"StoreRevision", 7}}, "2");
+    std::optional<Answer<ObjectList>> listed;
+    client->list("agents", storeIn(listed));
+    EXPECT_FALSE(wait(listed));
+    EXPECT_EQ(client->era(), 2U);
+}
+
+TEST_F(StoreClientTest, ALateAnswerOfAnOlderEraChangesNothing)
+{
+    const json list{{"items", {storedObject("a", 3, 1)}}, {"More", false}, {"StoreRevision", 9}};
+    addReply(503, json::object(), "4");
+    addReply(200, list, "3");
+    addReply(200, storedObject("a", 12, 1), "3");
+    addReply(200, list, "4");
+    std::optional<Answer<ObjectList>> refused;
+    client->list("agents", storeIn(refused));
+    EXPECT_FALSE(wait(refused));
+    EXPECT_EQ(client->era(), 4U) << "refusals tell the era too";
+    std::optional<Answer<ObjectList>> late;
+    client->list("agents", storeIn(late));
+    EXPECT_FALSE(wait(late));
+    std::optional<Answer<Object>> written;
+    client->write({.kind = "agents", .name = "a", .value = 1}, {}, storeIn(written));
+    EXPECT_EQ(wait(written).error().code, Code::PlatformOutcomeUnknown);
+    std::optional<Answer<ObjectList>> listed;
+    client->list("agents", storeIn(listed));
+    ASSERT_TRUE(wait(listed));
+    EXPECT_EQ(listed->value().position, (StorePosition{.era = 4, .revision = 9}));
+}
+
+TEST_F(StoreClientTest, AWatchThatASecondEraAnswersRestarts)
+{
+    addReply(200, {{"items", json::array()}, {"More", false}, {"StoreRevision", 9}}, "1");
+    addReply(200, {{"events", json::array()}, {"StoreRevision", 40}}, "2");
+    std::optional<Answer<ObjectList>> listed;
+    client->list("config", storeIn(listed));
+    std::optional<Answer<WatchBatch>> watched;
+    client->watch({"config"}, wait(listed).value().position, milliseconds(1000), storeIn(watched));
+    ASSERT_TRUE(wait(watched));
+    EXPECT_TRUE(watched->value().restart);
+}
+
+TEST_F(StoreClientTest, AnEraThatIsNoNumberIsIgnored)
+{
+    addReply(200, storedObject("a", 12, 1), "new");
+    std::optional<Answer<Object>> read;
+    client->read("agents", "a", storeIn(read));
+    EXPECT_TRUE(wait(read));
+    EXPECT_EQ(client->era(), 0U);
+}
+
 TEST_F(StoreClientTest, APageWithoutANameToContinueAfterIsAnError)
 {
     addReply(200, {{"items", {{{"foreign", true}}}}, {"More", true}, {"StoreRevision", 9}});
@@ -167,7 +224,7 @@
 {
     addReply(410, json::object());
     std::optional<Answer<WatchBatch>> watched;
-    client->watch({"config"}, 5, milliseconds(1000), storeIn(watched));
+    client->watch({"config"}, {.revision = 5}, milliseconds(1000), storeIn(watched));
     const auto batch = wait(watched);
     ASSERT_TRUE(batch);
     EXPECT_TRUE(batch.value().restart);
--- a/test/store-server-test.cc
+++ b/test/store-server-test.cc
@@ -48,7 +48,7 @@
         return wait<ObjectList>([&](Done<ObjectList> done) { client->list(kind, std::move(done)); });
     }
 
-    Answer<WatchBatch> watch(std::uint64_t after, milliseconds limit)
+    Answer<WatchBatch> watch(const StorePosition &after, milliseconds limit)
     {
         return wait<WatchBatch>(
             [&](Done<WatchBatch> done) { client->watch({"config"}, after, limit, std::move(done)); });
@@ -75,13 +75,13 @@
 TEST_F(StoreServerTest, AWatchReportsChangesAndLostHistory)
 {
     server->put("config", "main", {{"Version", 1}});
-    const auto revision = list("config").value().revision;
-    EXPECT_TRUE(watch(revision, milliseconds(20)).value().events.empty());
+    const auto position = list("config").value().position;
+    EXPECT_TRUE(watch(position, milliseconds(20)).value().events.empty());
     server->put("config", "main", {{"Version", 2}});
-    const auto changes = watch(revision, milliseconds(20));
+    const auto changes = watch(position, milliseconds(20));
     ASSERT_EQ(changes.value().events.size(), 1U);
     server->dropHistory();
-    EXPECT_TRUE(watch(revision, milliseconds(20)).value().restart);
+    EXPECT_TRUE(watch(position, milliseconds(20)).value().restart);
 }
 
 TEST_F(StoreServerTest, FaultsHaveDistinctErrors)
@@ -148,7 +148,7 @@
                             decodeConfiguration(configurationDocument({.version = 4,
                                                                        .routes = {{address, "desk"}},
                                                                        .coldFlowRates = {{"desk", 4}}}),
-                                                1, problems));
+                                                {.revision = 1}, problems));
             EXPECT_EQ(problems, "");
             EXPECT_EQ(table.routes.size(), 1U);
             EXPECT_EQ(table.coldFlowsPerSecond.size(), 1U);
