--- a/lab/soak-ledger.h
+++ b/lab/soak-ledger.h
@@ -80,6 +80,10 @@
     /// A fault of the store. Flows must survive it.
     void disturbStore(TimePoint from, TimePoint until);
 
+    /// The store was back from an older copy at `from`; the operator had written everything again by `until`,
+    /// from when on bounds in time count anew.
+    void steppedBack(TimePoint from, TimePoint until);
+
     /// A process of the system starts; it may know older configurations than before.
     void processStarted(const std::string &node);
     void serverStarted(const ServerStart &server, TimePoint now);
@@ -172,6 +176,10 @@
     /// Without any disturbance for `contact`.
     bool isInTouch(const std::string &node, TimePoint now) const;
     bool isStoreCalm(TimePoint since, TimePoint now) const;
+    /// Whether the store may lack, at `now`, what it has lost by a step back.
+    bool isSteppedBack(TimePoint now) const;
+    /// When what the store acknowledged at `acknowledged` was last written, as of `now`.
+    TimePoint lastWritten(TimePoint acknowledged, TimePoint now) const;
     void judge(Promise promise, bool holds, TimePoint now, const std::string &text);
     void judgeRoute(const FlowKey &flow, const Server &server, const std::string &balancer, TimePoint sent,
                     TimePoint now);
@@ -181,6 +189,7 @@
     std::map<std::string, std::vector<Span>> m_faults;
     std::map<std::string, std::vector<Span>> m_planned;
     std::vector<Span> m_storeFaults;
+    std::vector<Span> m_stepsBack;
     std::map<std::string, Server> m_servers;
     std::map<std::string, TimePoint> m_evacuated;
     std::vector<Version> m_versions;
--- a/test/soak-ledger-test.cc
+++ b/test/soak-ledger-test.cc
@@ -228,6 +228,29 @@
     EXPECT_EQ(broken(), none);
 }
 
+TEST_F(SoakLedgerTest, WhatTheStoreHasLostCountsFromWhenItWasWrittenAgain)
+{
+    ledger.configured(2, {{desk, "archive"}}, now);
+    now += milliseconds(100);
+    ledger.steppedBack(now, now + seconds(2));
+    now += milliseconds(4800);
+    open(1, "s1");
+    EXPECT_EQ(broken(), none);
+    now += milliseconds(400);
+    open(2, "s1");
+    EXPECT_EQ(broken(), std::set<std::string>{"configuration"});
+}
+
+TEST_F(SoakLedgerTest, NoConfigurationIsOverdueBeforeItIsWrittenAgain)
+{
+    ledger.configured(2, {{desk, "archive"}}, now);
+    now += seconds(10);
+    ledger.steppedBack(now - seconds(1), now + seconds(1));
+    ledger.processStarted("b1");
+    open(1, "s1");
+    EXPECT_EQ(broken(), none);
+}
+
 TEST_F(SoakLedgerTest, AStepBackBehindAConfigurationIsFound)
 {
     ledger.configured(2, {{desk, "archive"}}, now);
