--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -609,6 +609,11 @@
             return;
         case FaultKind::StoreStepsBack:
             if (!m_storeFaulty) {
+                // The store loses at least these, so that its revisions stay below for a while.
+                constexpr int lostVersions = 5;
+                for (int i = 0; i < lostVersions; ++i) {
+                    configure();
+                }
                 m_storeFaulty = true;
                 setStoreFaults({.silent = true});
                 later(until, [this, now] { stepStoreBack(now); });
@@ -637,6 +642,7 @@
     void stepStoreBack(TimePoint silentSince)
     {
         constexpr milliseconds rewriteDelay{1500};
+        constexpr milliseconds changeDelay{500}; ///< From then until the operator's next change.
         const auto now = steadyNow();
         m_store->stepBack();
         setStoreFaults({});
@@ -645,6 +651,11 @@
             m_storeFaulty = false;
             writeAgain();
         });
+        later(now + rewriteDelay + changeDelay, [this] {
+            if (!m_storeFaulty) {
+                configure();
+            }
+        });
     }
 
     // The operator writes again what the store may have lost.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -324,6 +324,11 @@
     port.send(message, {balancer, m_options.balancerPort});
 }
 
+void GateNode::noteStoreEra(std::uint64_t era)
+{
+    mergeRevisions(m_state.documents, {.era = eraTagOf(era)});
+}
+
 void GateNode::handleHello(std::span<std::uint8_t> bytes, const Endpoint &from)
 {
     Hello hello;
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -240,6 +240,18 @@
         });
     }
 
+    // Runs until a report of the first agent states the era.
+    bool isEraReported(std::uint64_t era)
+    {
+        EraTag reported = 0;
+        balancer->reported = [&](const Report &report) {
+            reported = report.documents.era;
+        };
+        runUntil(context, [&] { return reported == eraTagOf(era); });
+        balancer->reported = {};
+        return reported == eraTagOf(era);
+    }
+
     void send(std::uint16_t port, std::uint8_t flags, std::uint32_t acknowledgement, std::size_t payload)
     {
         const auto bytes
@@ -316,6 +328,12 @@
     std::vector<std::unique_ptr<StandInHost>> hosts;
 };
 
+TEST_F(GatePathTest, AnAgentThatSeesANewEraOfTheStoreTellsBalancers)
+{
+    hosts[0]->agent->noteStoreEra(7);
+    EXPECT_TRUE(isEraReported(7));
+}
+
 TEST_F(GatePathTest, AFlowIsServedFromEndToEnd)
 {
     EXPECT_TRUE(balancer->isReady());
