--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -609,14 +609,15 @@
             return;
         case FaultKind::StoreStepsBack:
             if (!m_storeFaulty) {
-                // The store loses at least these, so that its revisions stay below for a while.
+                // The store loses at least these changes, which the processes have seen.
                 constexpr int lostVersions = 5;
+                constexpr milliseconds seenTime{300};
                 for (int i = 0; i < lostVersions; ++i) {
                     configure();
                 }
                 m_storeFaulty = true;
-                setStoreFaults({.silent = true});
-                later(until, [this, now] { stepStoreBack(now); });
+                later(now + seenTime, [this] { setStoreFaults({.silent = true}); });
+                later(until + seenTime, [this, now] { stepStoreBack(now); });
             }
             return;
         default:
