--- a/src/histogram.cc
+++ b/src/histogram.cc
@@ -10,6 +10,7 @@
 
 constexpr std::uint32_t subBucketBits = 4; ///< Each power of two has 2^subBucketBits histogram buckets.
 constexpr std::uint32_t subBuckets = 1U << subBucketBits;
+constexpr std::uint32_t maxShift = 63 - subBucketBits; ///< Of buckets beyond all positive latencies.
 
 } // namespace
 
@@ -29,6 +30,10 @@
         return std::chrono::microseconds(bucket);
     }
     const std::uint32_t shift = bucket / subBuckets - 1;
+    // The bucket after the last one would begin at 2^63.
+    if (shift >= maxShift) {
+        return std::chrono::microseconds::max();
+    }
     return std::chrono::microseconds(static_cast<std::int64_t>(bucket % subBuckets + subBuckets) << shift);
 }
 
--- a/test/burn-test.cc
+++ b/test/burn-test.cc
@@ -60,6 +60,13 @@
     RC_ASSERT(decodeHistogram(encodeHistogram(together)) == together);
 }
 
+TEST(HistogramTest, TheLastBucketOfAForeignDocumentDoesNotOverflow)
+{
+    const auto histogram = decodeHistogram({{"counts", {{959, 1}}}, {"largest_us", INT64_MAX}});
+    EXPECT_GT(quantileOf(histogram, 0.5), 1h);
+    EXPECT_EQ(countAbove(histogram, 1h), 1U);
+}
+
 TEST(HistogramTest, MergingKeepsTheTail)
 {
     LatencyHistogram merged;
