--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -60,6 +60,7 @@
 /// leave unused: 0 if it is unknown, as in messages of processes that know no eras.
 using EraTag = std::uint16_t;
 
+/// The tag of an era; that of era 0, which means that the store states none, is 0.
 EraTag eraTagOf(std::uint64_t era);
 /// Whether `tag` is known and stands for a later era than `other`, or `other` is unknown.
 bool isLaterEra(EraTag tag, EraTag other);
--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -32,6 +32,7 @@
     std::vector<std::string> changes; ///< Change identifiers of the latest writes, oldest first.
 };
 
+/// The position of the object's version; zero for an object to be created.
 inline StorePosition positionOf(const Object &object)
 {
     return {.era = object.era, .revision = object.version};
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -676,6 +676,7 @@
 
 namespace {
 
+// A new era starts the time in which what the store has lost may be written again.
 void noteEra(SteeringState &state, std::uint64_t era, TimePoint now)
 {
     if (era <= state.hold.era) {
