SocketsTest waits for the connection that it opens first

Found by reading: under load the kernel may finish a loopback handshake a moment after connect has returned. The test waits for it, up to 5 s, before it closes the listener to others; what it checks is the same.

--- a/test/sockets-test.cc
+++ b/test/sockets-test.cc
@@ -51,6 +51,8 @@
     address = toSocketAddress(localEndpoint(listener));
     EXPECT_FALSE(hasPendingConnection(listener.value()));
     const auto early = beginConnection(address);
+    pollfd pending{.fd = listener.value(), .events = POLLIN, .revents = 0};
+    EXPECT_EQ(::poll(&pending, 1, 5000), 1);
     ASSERT_TRUE(dropNewConnections(listener.value()));
     const auto late = beginConnection(address);
     EXPECT_TRUE(hasPendingConnection(listener.value()));
