One fixture for tests at the interface of the users' store

store-era-test had written store-server-test's start of the stand-in and its wait for an answer again; both use StoreFixture now.

--- a/test/store-era-test.cc
+++ b/test/store-era-test.cc
@@ -1,16 +1,15 @@
 // Plays a store that comes back from an older copy of itself, at the interface of the store.
-#include <optional>
+#include <utility>
 
 #include <gtest/gtest.h>
 
 #include "documents.h"
-#include "event-loop.h"
 #include "oriolelever/flow-snapshots.h"
 #include "oriolelever/object-follower.h"
 #include "oriolelever/peer-message.h"
 #include "oriolelever/presence.h"
 #include "store-client.h"
-#include "store-server.h"
+#include "store-fixture.h"
 
 namespace oriolelever::platform::standin {
 namespace {
@@ -76,17 +75,9 @@
     ObjectFollower evacuations;
 };
 
-class StoreEraTest : public testing::Test
+class StoreEraTest : public StoreFixture
 {
 public:
-    StoreEraTest()
-    {
-        EXPECT_TRUE(parseEndpoint("127.0.0.1:0", endpoint));
-        store = std::make_unique<StoreServer>(context, endpoint, 1);
-        runUntil(context, [this] { return store->port() != 0; });
-        endpoint.port = store->port();
-    }
-
     void configure(std::uint64_t version)
     {
         store->configure({.version = version});
@@ -108,18 +99,6 @@
         return process;
     }
 
-    template<typename T>
-    Answer<T> wait(const std::function<void(Done<T>)> &call)
-    {
-        std::optional<Answer<T>> answer;
-        call([&answer](const Answer<T> &given) { answer.emplace(given); });
-        runUntil(context, [&] { return answer.has_value(); });
-        return *answer;
-    }
-
-    asio::io_context context;
-    Endpoint endpoint;
-    std::unique_ptr<StoreServer> store;
     int otherWrites = 0;
 };
 
--- a/test/store-server-test.cc
+++ b/test/store-server-test.cc
@@ -1,41 +1,25 @@
 // Tests the stand-in for the users' store through `StoreClient`.
 #include "store-server.h"
 
-#include <optional>
-
 #include <gtest/gtest.h>
 
 #include "boot-settings.h"
 #include "documents.h"
-#include "event-loop.h"
 #include "standin-wire.h"
 #include "store-client.h"
+#include "store-fixture.h"
 
 namespace oriolelever::platform::standin {
 namespace {
 
 using std::chrono::milliseconds;
 
-class StoreServerTest : public testing::Test
+class StoreServerTest : public StoreFixture
 {
 public:
     StoreServerTest()
+        : client(std::make_unique<StoreClient>(context, endpoint))
     {
-        Endpoint any;
-        EXPECT_TRUE(parseEndpoint("127.0.0.1:0", any));
-        server = std::make_unique<StoreServer>(context, any, 1);
-        runUntil(context, [this] { return server->port() != 0; });
-        any.port = server->port();
-        client = std::make_unique<StoreClient>(context, any);
-    }
-
-    template<typename T>
-    Answer<T> wait(const std::function<void(Done<T>)> &call)
-    {
-        std::optional<Answer<T>> answer;
-        call([&answer](const Answer<T> &given) { answer.emplace(given); });
-        runUntil(context, [&] { return answer.has_value(); });
-        return *answer;
     }
 
     Answer<Object> write(const Object &object)
@@ -54,8 +38,6 @@
             [&](Done<WatchBatch> done) { client->watch({"config"}, after, limit, std::move(done)); });
     }
 
-    asio::io_context context;
-    std::unique_ptr<StoreServer> server;
     std::unique_ptr<StoreClient> client;
 };
 
@@ -74,24 +56,24 @@
 
 TEST_F(StoreServerTest, AWatchReportsChangesAndLostHistory)
 {
-    server->put("config", "main", {{"Version", 1}});
+    store->put("config", "main", {{"Version", 1}});
     const auto position = list("config").value().position;
     EXPECT_TRUE(watch(position, milliseconds(20)).value().events.empty());
-    server->put("config", "main", {{"Version", 2}});
+    store->put("config", "main", {{"Version", 2}});
     const auto changes = watch(position, milliseconds(20));
     ASSERT_EQ(changes.value().events.size(), 1U);
-    server->dropHistory();
+    store->dropHistory();
     EXPECT_TRUE(watch(position, milliseconds(20)).value().restart);
 }
 
 TEST_F(StoreServerTest, FaultsHaveDistinctErrors)
 {
-    server->setFaults({.unavailable = true});
+    store->setFaults({.unavailable = true});
     EXPECT_EQ(list("config").error().code, Code::PlatformUnreachable);
-    server->setFaults({.unansweredWriteShare = 1});
+    store->setFaults({.unansweredWriteShare = 1});
     const Object entry{.kind = "agents", .name = "a1", .value = {{"host", "10.0.0.1"}}};
     EXPECT_EQ(write(entry).error().code, Code::PlatformOutcomeUnknown);
-    server->setFaults({});
+    store->setFaults({});
     EXPECT_EQ(list("agents").value().objects.size(), 1U) << "the write was executed";
 }
 
