--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -61,7 +61,7 @@
     void addBalancers(const std::vector<IpAddress> &balancers);
 
     /// The agent's own calls have shown a new era of the platform's store: reports tell balancers of it.
-    void noteStoreEra(std::uint64_t era);
+    void recordStoreEra(std::uint64_t era);
 
     /// Called when a balancer states that the agent's entry in the platform's store is missing.
     std::function<void()> entryMissing;
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -257,8 +257,6 @@
     Held,
 };
 
-std::string_view toString(TableOutcome outcome);
-
 /// Puts a configuration of the store in force, unless the outcome says otherwise.
 TableOutcome applyTable(SteeringState &state, RoutingTable table, TimePoint now);
 /// Applies the zones whose evacuation the store orders, as of `position`.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -324,7 +324,7 @@
     port.send(message, {balancer, m_options.balancerPort});
 }
 
-void GateNode::noteStoreEra(std::uint64_t era)
+void GateNode::recordStoreEra(std::uint64_t era)
 {
     mergeRevisions(m_state.documents, {.era = eraTagOf(era)});
 }
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -330,7 +330,7 @@
 
 TEST_F(GatePathTest, AnAgentThatSeesANewEraOfTheStoreTellsBalancers)
 {
-    hosts[0]->agent->noteStoreEra(7);
+    hosts[0]->agent->recordStoreEra(7);
     EXPECT_TRUE(isEraReported(7));
 }
 
