--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -12,6 +12,8 @@
 #include <string_view>
 
 #include "oriolelever/flow.h"
+#include "oriolelever/route-terms.h"
+#include "oriolelever/server-capacity.h"
 #include "oriolelever/store-position.h"
 
 namespace oriolelever {
@@ -98,6 +100,11 @@
     ZoneId zone; ///< Availability zone of the balancer.
     DocumentRevisions documents; ///< That the balancer knows.
     std::chrono::milliseconds reportPeriod{200}; ///< Between two reports to this balancer.
+    /// The balancer reads reports with a capacity; processes of earlier versions do not.
+    bool acceptsCapacity = false;
+    /// Only in the first hello to a new start of the agent: an agent of an earlier version rejects that hello
+    /// and reads the next one.
+    std::optional<RememberedCapacity> remembered;
 
     bool operator==(const Hello &) const = default;
 };
@@ -133,6 +140,7 @@
     bool isFailing = false; ///< The server resets flows instead of answering their requests.
     std::uint16_t balancers = 0; ///< From which the agent has had a Hello lately.
     DocumentRevisions documents; ///< The latest of those balancers.
+    std::optional<ServerCapacity> capacity; ///< Only to balancers whose hello accepts it.
     /// All flows of the server; only in answers to a Hello that asks for them, and absent if the agent does
     /// not know all of them.
     std::optional<FlowFilter> heldFlowFilter;
@@ -152,6 +160,9 @@
     /// Only of `Relay`: the agent may return the packet as `Busy`. Otherwise the packet has already been
     /// returned so, and waits until the server has capacity.
     bool mayReturnBusy = false;
+    /// Only of `Relay`: terms of the packet's route, with times as `roundToEncodable` returns them. Processes
+    /// of earlier versions neither send nor read them.
+    std::optional<RouteTerms> terms;
     std::uint64_t number = 0; ///< See `PeerMessageType` and `ReturnReason`.
 };
 
--- a/include/oriolelever/routing-table.h
+++ b/include/oriolelever/routing-table.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "oriolelever/route-terms.h"
 #include "oriolelever/store-position.h"
 #include "oriolelever/types.h"
 
@@ -23,6 +24,7 @@
 struct VirtualRoute
 {
     std::vector<WeightedService> services; ///< At least one.
+    RouteTerms terms;
 
     bool operator==(const VirtualRoute &) const = default;
 };
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -1,6 +1,8 @@
 #include "oriolelever/peer-message.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 #include "oriolelever/bytes.h"
 
@@ -12,13 +14,22 @@
 constexpr std::size_t eraTagOffset = 2; // Of a Hello and a Report: reason and flags, which these lack.
 constexpr std::size_t helloSize = peerHeaderSize + 35; // Bytes, as all sizes here.
 constexpr std::size_t reportSize = peerHeaderSize + 58;
+constexpr std::size_t capacitySize = 20; // Of a report, between its body and the filter.
+constexpr std::size_t rememberedSize = 18; // At the end of a hello.
 constexpr std::size_t filterSize = FlowFilter::wordCount * sizeof(std::uint64_t);
-static_assert(reportSize + filterSize <= maxPeerMessageSize && helloSize <= maxPeerMessageSize);
+static_assert(reportSize + capacitySize + filterSize <= maxPeerMessageSize
+              && helloSize + rememberedSize <= maxPeerMessageSize);
 constexpr std::uint32_t eraTagCount = 65'535; // Without the tag of an unknown era.
-constexpr std::uint8_t mayReturnBusyFlag = 1; // In the flags of the header: `PeerHeader::mayReturnBusy`.
+// In the flags of a Relay's header. The byte of the reason, which a Relay lacks, has the two times.
+constexpr std::uint8_t mayReturnBusyFlag = 1;
+constexpr std::uint8_t hasTermsFlag = 2;
+constexpr std::uint8_t repeatableFlag = 4;
+constexpr unsigned priorityShift = 3;
+constexpr unsigned timeLimitShift = 4;
 // In the first byte of a hello's body.
 constexpr std::uint8_t unlistedFlag = 1;
 constexpr std::uint8_t wantsFlowsFlag = 2;
+constexpr std::uint8_t acceptsCapacityFlag = 4;
 constexpr std::uint8_t failingFlag = 1; // In the flags of a report's body: `Report::isFailing`.
 
 std::uint32_t clampedMilliseconds(std::chrono::milliseconds time)
@@ -26,6 +37,65 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
 }
 
+std::uint16_t clampedMilliseconds16(std::chrono::milliseconds time)
+{
+    return static_cast<std::uint16_t>(std::clamp<std::int64_t>(time.count(), 0, UINT16_MAX));
+}
+
+constexpr double paceUnit = 0.01; // Answers a second.
+constexpr double concurrencyUnit = 1.0 / 16; // Requests.
+
+// Rounds a count to an integer in `unit`; 0 for what is no positive number.
+template<typename Integer>
+Integer scaled(double value, double unit)
+{
+    if (!(value > 0)) {
+        return 0;
+    }
+    const double limit = std::numeric_limits<Integer>::max();
+    return static_cast<Integer>(std::min(std::round(value / unit), limit));
+}
+
+constexpr std::size_t learnedSize = 10; // Bytes of the fields that `writeLearned` writes.
+
+// Writes what was learned of a server, without what waits for it.
+void writeLearned(std::uint8_t *out, const ServerCapacity &capacity)
+{
+    write32(out, scaled<std::uint32_t>(capacity.answersPerSecond, paceUnit));
+    write16(out + 4, scaled<std::uint16_t>(capacity.concurrency, concurrencyUnit));
+    write16(out + 6, capacity.evidence);
+    write16(out + 8, clampedMilliseconds16(capacity.usualAnswer));
+}
+
+ServerCapacity readLearned(const std::uint8_t *bytes)
+{
+    return {.answersPerSecond = read32(bytes) * paceUnit,
+            .concurrency = read16(bytes + 4) * concurrencyUnit,
+            .evidence = read16(bytes + 6),
+            .usualAnswer = std::chrono::milliseconds(read16(bytes + 8))};
+}
+
+void writeCapacity(std::uint8_t *out, const ServerCapacity &capacity)
+{
+    writeLearned(out, capacity);
+    out += learnedSize;
+    write16(out, capacity.queuedOpenings);
+    write16(out + 2, capacity.queuedRequests);
+    write16(out + 4, clampedMilliseconds16(capacity.longestWait));
+    write32(out + 6, capacity.openings);
+}
+
+ServerCapacity readCapacity(const std::uint8_t *bytes)
+{
+    auto capacity = readLearned(bytes);
+    bytes += learnedSize;
+    capacity.queuedOpenings = read16(bytes);
+    capacity.queuedRequests = read16(bytes + 2);
+    capacity.longestWait = std::chrono::milliseconds(read16(bytes + 4));
+    capacity.openings = read32(bytes + 6);
+    return capacity;
+}
+
 // Calls `visit` with the index of the word and the mask of the bit for each of a flow's bits in a filter.
 template<typename Visit>
 void forEachBit(std::uint64_t hash, Visit visit)
@@ -153,6 +223,13 @@
     }
     out.reason = static_cast<ReturnReason>(bytes[2]);
     out.mayReturnBusy = (bytes[3] & mayReturnBusyFlag) != 0;
+    out.terms.reset();
+    if (out.type == PeerMessageType::Relay && (bytes[3] & hasTermsFlag) != 0) {
+        out.terms = {.isRepeatable = (bytes[3] & repeatableFlag) != 0,
+                     .priority = static_cast<std::uint8_t>((bytes[3] >> priorityShift) & lowestPriority),
+                     .timeLimit = decodeTime(static_cast<std::uint8_t>(bytes[2] >> timeLimitShift)),
+                     .latencyGoal = decodeTime(bytes[2])};
+    }
     out.number = read64(bytes.data() + 4);
     return true;
 }
@@ -163,6 +240,14 @@
     out[1] = static_cast<std::uint8_t>(header.type);
     out[2] = static_cast<std::uint8_t>(header.reason);
     out[3] = header.mayReturnBusy ? mayReturnBusyFlag : 0;
+    if (header.type == PeerMessageType::Relay && header.terms) {
+        const auto &terms = *header.terms;
+        const auto priority = std::min(terms.priority, lowestPriority);
+        out[2] = static_cast<std::uint8_t>((encodeTime(terms.timeLimit) << timeLimitShift)
+                                           | encodeTime(terms.latencyGoal));
+        out[3] |= static_cast<std::uint8_t>(hasTermsFlag | (terms.isRepeatable ? repeatableFlag : 0)
+                                            | (priority << priorityShift));
+    }
     write64(out.data() + 4, header.number);
 }
 
@@ -196,22 +281,28 @@
     write16(out.data() + eraTagOffset, hello.documents.era);
     std::uint8_t *body = out.data() + peerHeaderSize;
     body[0] = static_cast<std::uint8_t>((hello.unlisted ? unlistedFlag : 0)
-                                        | (hello.wantsFlows ? wantsFlowsFlag : 0));
+                                        | (hello.wantsFlows ? wantsFlowsFlag : 0)
+                                        | (hello.acceptsCapacity ? acceptsCapacityFlag : 0));
     write32(body + 1, hello.coldFlowsPerSecond);
     write32(body + 5, clampedMilliseconds(hello.idleLimit));
-    write16(body + 9,
-            static_cast<std::uint16_t>(std::clamp<std::int64_t>(hello.reportPeriod.count(), 0, UINT16_MAX)));
+    write16(body + 9, clampedMilliseconds16(hello.reportPeriod));
     write64(body + 11, hello.zone.value);
     write64(body + 19, hello.documents.configuration);
     write64(body + 27, hello.documents.evacuations);
-    return helloSize;
+    if (!hello.remembered) {
+        return helloSize;
+    }
+    body = out.data() + helloSize;
+    write64(body, hello.remembered->bornAt);
+    writeLearned(body + 8, hello.remembered->capacity);
+    return helloSize + rememberedSize;
 }
 
 bool decodeHello(std::span<const std::uint8_t> bytes, Hello &out)
 {
     PeerHeader header;
     if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Hello
-        || bytes.size() != helloSize) {
+        || (bytes.size() != helloSize && bytes.size() != helloSize + rememberedSize)) {
         return false;
     }
     const std::uint8_t *body = bytes.data() + peerHeaderSize;
@@ -219,12 +310,18 @@
     out.unlisted = (body[0] & unlistedFlag) != 0;
     out.coldFlowsPerSecond = read32(body + 1);
     out.wantsFlows = (body[0] & wantsFlowsFlag) != 0;
+    out.acceptsCapacity = (body[0] & acceptsCapacityFlag) != 0;
     out.idleLimit = std::chrono::milliseconds(read32(body + 5));
     out.reportPeriod = std::chrono::milliseconds(read16(body + 9));
     out.zone.value = read64(body + 11);
     out.documents = {.era = read16(bytes.data() + eraTagOffset),
                      .configuration = read64(body + 19),
                      .evacuations = read64(body + 27)};
+    out.remembered.reset();
+    if (bytes.size() > helloSize) {
+        body = bytes.data() + helloSize;
+        out.remembered = {.bornAt = read64(body), .capacity = readLearned(body + 8)};
+    }
     return true;
 }
 
@@ -245,22 +342,31 @@
     write16(body + 40, report.balancers);
     write64(body + 42, report.documents.configuration);
     write64(body + 50, report.documents.evacuations);
-    if (!report.heldFlowFilter) {
-        return reportSize;
+    std::size_t size = reportSize;
+    if (report.capacity) {
+        writeCapacity(out.data() + size, *report.capacity);
+        size += capacitySize;
     }
-    body = out.data() + reportSize;
-    for (const auto word : report.heldFlowFilter->bits) {
-        write64(body, word);
-        body += sizeof(word);
+    if (report.heldFlowFilter) {
+        for (const auto word : report.heldFlowFilter->bits) {
+            write64(out.data() + size, word);
+            size += sizeof(word);
+        }
     }
-    return reportSize + filterSize;
+    return size;
 }
 
 bool decodeReport(std::span<const std::uint8_t> bytes, Report &out)
 {
     PeerHeader header;
     if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Report
-        || (bytes.size() != reportSize && bytes.size() != reportSize + filterSize)) {
+        || bytes.size() < reportSize) {
+        return false;
+    }
+    const auto extraSize = bytes.size() - reportSize;
+    const bool hasCapacity = extraSize == capacitySize || extraSize == capacitySize + filterSize;
+    const bool hasFilter = extraSize == filterSize || extraSize == capacitySize + filterSize;
+    if (extraSize != 0 && !hasCapacity && !hasFilter) {
         return false;
     }
     const std::uint8_t *body = bytes.data() + peerHeaderSize;
@@ -281,9 +387,13 @@
     out.documents = {.era = read16(bytes.data() + eraTagOffset),
                      .configuration = read64(body + 42),
                      .evacuations = read64(body + 50)};
+    out.capacity.reset();
+    if (hasCapacity) {
+        out.capacity = readCapacity(bytes.data() + reportSize);
+    }
     out.heldFlowFilter.reset();
-    if (bytes.size() > reportSize) {
-        body = bytes.data() + reportSize;
+    if (hasFilter) {
+        body = bytes.data() + reportSize + (hasCapacity ? capacitySize : 0);
         out.heldFlowFilter.emplace();
         for (auto &word : out.heldFlowFilter->bits) {
             word = read64(body);
