--- a/test/documents-test.cc
+++ b/test/documents-test.cc
@@ -77,6 +77,32 @@
     EXPECT_EQ(table->coldFlowsPerSecond.at(idOf<ServiceId>("wuno96b")), 12.5);
 }
 
+TEST(DocumentsTest, ReadsTheTermsOfRoutes)
+{
+    std::string problems;
+    const auto table = decodeConfiguration(nlohmann::json::parse(configuration), {.revision = 1}, problems);
+    ASSERT_TRUE(table);
+    const RouteTerms submission{
+        .priority = 1, .timeLimit = milliseconds(1200), .latencyGoal = milliseconds(120)};
+    EXPECT_EQ(table->routes.at(endpoint("198.18.0.1:8080")).terms, submission);
+    const RouteTerms download{.isRepeatable = true, .timeLimit = milliseconds(5000)};
+    EXPECT_EQ(table->routes.at(endpoint("198.18.0.2:8443")).terms, download) << "no goal, no priority";
+}
+
+// Guards against a request that must not be repeated being taken for one that may, or a route being lost.
+TEST(DocumentsTest, TermsThatCannotBeReadAreLeftOut)
+{
+    auto json = nlohmann::json::parse(configuration);
+    json["Routes"][1]["Type"] = "unheard-of";
+    json["Routes"][1]["TimeoutMs"] = -1;
+    json["Routes"][1]["GoalMs"] = "soon";
+    json["Routes"][1]["Priority"] = 1000;
+    std::string problems;
+    const auto table = decodeConfiguration(json, {.revision = 1}, problems);
+    ASSERT_TRUE(table);
+    EXPECT_EQ(table->routes.at(endpoint("198.18.0.1:8443")).terms, RouteTerms{});
+}
+
 TEST(DocumentsTest, ARouteThatCannotBeReadLeavesTheOthers)
 {
     auto json = nlohmann::json::parse(configuration);
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -1,6 +1,7 @@
 #include "oriolelever/peer-message.h"
 
 #include <array>
+#include <cmath>
 
 #include <gtest/gtest.h>
 
@@ -56,6 +57,82 @@
     EXPECT_FALSE(decodeReport({buffer.data(), size}, decoded)) << "invalid state";
 }
 
+const ServerCapacity learned{.answersPerSecond = 87.5,
+                             .concurrency = 3.25,
+                             .evidence = 300,
+                             .usualAnswer = std::chrono::milliseconds(47)};
+
+// Guards against a balancer that reads the capacity as part of the flow filter, or the other way round.
+TEST(PeerMessageTest, ACapacityAndAFilterTravelTogetherAndAlone)
+{
+    auto capacity = learned;
+    capacity.queuedOpenings = 4;
+    capacity.queuedRequests = 9;
+    capacity.longestWait = std::chrono::milliseconds(310);
+    capacity.openings = 4'000'000'000;
+    FlowFilter filter;
+    filter.add(0x123456789abcdef0);
+    for (const bool hasFilter : {false, true}) {
+        Report report{.lifetime = 9, .slots = 4, .capacity = capacity};
+        if (hasFilter) {
+            report.heldFlowFilter = filter;
+        }
+        const auto size = encodeReport(buffer, report);
+        Report decoded;
+        ASSERT_TRUE(decodeReport({buffer.data(), size}, decoded));
+        EXPECT_EQ(decoded, report);
+        EXPECT_FALSE(decodeReport({buffer.data(), size - 1}, decoded)) << "truncated";
+    }
+}
+
+// An agent that restarts learns from a hello; one that gets no memory reads a hello of the usual size.
+TEST(PeerMessageTest, AHelloReturnsARememberedCapacity)
+{
+    const Hello hello{.lifetime = 5,
+                      .acceptsCapacity = true,
+                      .remembered = RememberedCapacity{.bornAt = 1'700'000'000'000, .capacity = learned}};
+    const auto size = encodeHello(buffer, hello);
+    Hello decoded;
+    ASSERT_TRUE(decodeHello({buffer.data(), size}, decoded));
+    EXPECT_EQ(decoded, hello);
+    EXPECT_FALSE(decodeHello({buffer.data(), size - 1}, decoded)) << "truncated";
+    EXPECT_LT(encodeHello(buffer, {.lifetime = 5, .acceptsCapacity = true}), size);
+}
+
+// Guards against an estimate that is no number, or beyond the field, turning into an arbitrary one.
+TEST(PeerMessageTest, AnImpossibleCapacityIsSentAsUnknownOrAsTheLargest)
+{
+    const Report report{.capacity = ServerCapacity{.answersPerSecond = std::nan(""), .concurrency = -1}};
+    Report decoded;
+    ASSERT_TRUE(decodeReport({buffer.data(), encodeReport(buffer, report)}, decoded));
+    EXPECT_EQ(decoded.capacity, ServerCapacity{});
+    const Report huge{.capacity = ServerCapacity{.answersPerSecond = 1e300, .concurrency = 1e300}};
+    ASSERT_TRUE(decodeReport({buffer.data(), encodeReport(buffer, huge)}, decoded));
+    EXPECT_GT(decoded.capacity->answersPerSecond, 4e7);
+    EXPECT_GT(decoded.capacity->concurrency, 4000);
+}
+
+TEST(PeerMessageTest, ARelayCarriesTheTermsOfItsRoute)
+{
+    const RouteTerms terms{.isRepeatable = true,
+                           .priority = 5,
+                           .timeLimit = std::chrono::milliseconds(1131),
+                           .latencyGoal = std::chrono::milliseconds(200)};
+    PeerHeader decoded;
+    for (const bool mayReturnBusy : {false, true}) {
+        encodePeerHeader(
+            buffer,
+            {.type = PeerMessageType::Relay, .mayReturnBusy = mayReturnBusy, .terms = terms, .number = 77});
+        ASSERT_TRUE(decodePeerHeader(buffer, decoded));
+        EXPECT_EQ(decoded.terms, terms);
+        EXPECT_EQ(decoded.mayReturnBusy, mayReturnBusy);
+        EXPECT_EQ(decoded.number, 77U);
+    }
+    encodePeerHeader(buffer, {.type = PeerMessageType::Relay, .number = 77});
+    ASSERT_TRUE(decodePeerHeader(buffer, decoded));
+    EXPECT_FALSE(decoded.terms) << "as processes of earlier versions send it";
+}
+
 TEST(PeerMessageTest, TheEraLeavesTheRestOfAMessageAsProcessesWithoutErasReadIt)
 {
     constexpr std::size_t eraOffset = 2;
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -988,6 +988,30 @@
     EXPECT_EQ(data(1).cause, SteeringCause::NotHeld);
 }
 
+// Guards against resets of open flows when an agent is asked to report more often and that hello is lost: its
+// last report is up to a rare period old by then.
+TEST_F(SteeringTest, AnAgentThatIsAskedToReportMoreOftenIsNotTakenForLost)
+{
+    reportThreeReady();
+    const auto holder = open(1).backend;
+    setReportPeriod(state, holder, state.options.remoteReportPeriod, now);
+    report("10.0.0.2", {.state = BackendState::Ready, .slots = 2});
+    const auto reportOthers = [&] {
+        report("10.0.0.1", {.state = BackendState::Ready, .slots = 2});
+        report("10.0.0.3", {.zone = idOf<ZoneId>("b"), .state = BackendState::Ready, .slots = 2});
+    };
+    now += state.options.remoteReportPeriod;
+    setReportPeriod(state, holder, state.options.reportPeriod, now);
+    now += reportTimeout() + milliseconds(1);
+    reportOthers();
+    EXPECT_EQ(data(1).action, SteeringAction::Forward);
+    const auto [offered, decision] = searchAllAgents(2, data(2));
+    EXPECT_EQ(decision.cause, SteeringCause::Undecided) << "its server may hold the unknown flow";
+    now += state.options.restartTimeout;
+    reportOthers();
+    EXPECT_EQ(data(1).cause, SteeringCause::NotHeld) << "several hellos were sent since";
+}
+
 TEST_F(SteeringTest, ABalancerThatHearsNoAgentResetsNoFlowOfALostHost)
 {
     reportThreeReady();
