An agent that is asked to report more often is not taken for lost

Cause: whether a host is lost, and whether an unreachable agent may hold an unknown flow, was judged by the age of its last report alone. An agent of another zone reports each second; when it is asked to report every 200 ms and that hello is lost, it counts as unreachable after 0.7 s, with a last report up to 1.7 s old, over the 1.5 s of a restart. Open flows of a serving server were then reset.

Change: both look at the time since which the balancer waits for the next report, which includes the last change of the period. Relayed packets carry the terms of their routes.

Result: SteeringTest.AnAgentThatIsAskedToReportMoreOftenIsNotTakenForLost fails before (reset instead of forwarded, reset instead of undecided) and passes now. steering-test 69, peer-message-test 13, route-terms-test 3, documents-test 11, server-gate-test 39 tests passed. The flow of the users' record was in the balancer's own zone, whose agents' period does not change: this is not shown to be its cause.

--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -233,8 +233,13 @@
     const std::span<std::uint8_t> message(bytes.data() - peerHeaderSize, bytes.size() + peerHeaderSize);
     const auto type
         = decision.action == SteeringAction::QueryNote ? PeerMessageType::NoteQuery : PeerMessageType::Relay;
-    encodePeerHeader(
-        message, {.type = type, .mayReturnBusy = decision.mayReturnBusy, .number = decision.service.value});
+    PeerHeader header{
+        .type = type, .mayReturnBusy = decision.mayReturnBusy, .number = decision.service.value};
+    const auto route = m_state.table.routes.find(segment.destination);
+    if (route != m_state.table.routes.end() && route->second.terms != RouteTerms{}) {
+        header.terms = route->second.terms;
+    }
+    encodePeerHeader(message, header);
     m_agentSocket.send(message, {m_state.backends[decision.backend].host, m_options.agentPort});
     if (decision.mustSendNotes) {
         sendNotes(flowFromCaller(segment), m_state.backends[decision.backend].host);
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -275,6 +275,13 @@
     return best;
 }
 
+// Since when the balancer has waited for the agent's next report. The report that an agent of another zone
+// sent last, before it was asked to report more often, may be older than a restart takes.
+TimePoint reportExpectedSince(const Backend &backend)
+{
+    return std::max({backend.reportedAt, backend.knownSince, backend.reportPeriodSetAt});
+}
+
 // Counts the agents whose servers may hold the flow, given all that agents have returned and reported. An
 // unreachable agent may hold any flow that it has not returned. A report that excludes the flow counts only
 // if the agent has sent it after the search started: the server may have got the flow after an earlier one.
@@ -293,10 +300,9 @@
         }
         if (!isReachable(state, backend, now)) {
             const bool hasReported = backend.reportedAt != TimePoint{};
-            const auto since = std::max(backend.reportedAt, backend.knownSince);
             const auto limit
                 = hasReported ? state.options.restartTimeout : state.options.neverReportedTimeout;
-            undecidedAgents.unreachable += now - since < limit ? 1 : 0;
+            undecidedAgents.unreachable += now - reportExpectedSince(backend) < limit ? 1 : 0;
         } else if (!excludesFlow(state, backend, flow, flowHash, now)) {
             ++undecidedAgents.notOffered;
         } else if (!isFilterConclusive(backend, flow)) {
@@ -416,8 +422,7 @@
 bool isHostLost(const SteeringState &state, const Backend &backend, TimePoint now)
 {
     return !isReachable(state, backend, now)
-        && now - std::max(backend.reportedAt, backend.knownSince) > state.options.restartTimeout
-        && !isIsolated(state, now);
+        && now - reportExpectedSince(backend) > state.options.restartTimeout && !isIsolated(state, now);
 }
 
 // Forwards a packet to the known holder. An acknowledgement that differs from the first one shows that the
