--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -11,6 +11,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include "oriolelever/deferred-openings.h"
 #include "oriolelever/event-log.h"
 #include "oriolelever/flow-registry.h"
 #include "oriolelever/kernel.h"
@@ -30,6 +31,7 @@
     std::uint64_t lifetime = 0; ///< Identifies this start of the balancer; differs for each start.
     PacketFormat format;
     SteeringOptions steering;
+    DeferOptions defer;
     double coldFactor = 1; ///< Limit of new flows for a cold server, relative to its configured rate.
     double coldSlack = 0; ///< Flows per second that are added to that limit.
     std::chrono::milliseconds tickPeriod{250}; ///< Also between hellos to an unreachable agent.
@@ -100,6 +102,12 @@
         return m_state;
     }
 
+    /// Number of opening packets that wait until a server for them is known.
+    std::size_t deferredOpenings() const
+    {
+        return m_deferred.openings.size();
+    }
+
 private:
     struct Counters;
 
@@ -117,6 +125,11 @@
     void applyDecision(const SteeringDecision &decision, const Segment &segment,
                        std::span<std::uint8_t> bytes);
     void logDecision(const SteeringDecision &decision, const Segment &segment);
+    /// Keeps an opening packet that cannot be placed yet; returns false if it is to be dropped.
+    bool deferOpening(const SteeringDecision &decision, const Segment &segment,
+                      std::span<const std::uint8_t> bytes);
+    /// Places the opening packets that were kept, as far as servers for them are known by now.
+    void placeDeferredOpenings();
     /// Resets unresolved flows that no server holds.
     void resetUnheldFlows(TimePoint now);
     /// Asks agents for the flows that they hold, and resets the callers of flows that nobody holds.
@@ -141,6 +154,7 @@
     std::uint64_t m_loggedLostDatagrams = 0; ///< Lost datagrams that were logged already.
     TimePoint m_lastExpiryAt{}; ///< When idle flows were last expired.
     TimePoint m_drainStartedAt{};
+    DeferredOpenings m_deferred;
     FlowRegistry m_registry; ///< Flows that agents have listed, or a snapshot.
     bool m_hasRegistryChanged = false; ///< Agents have listed other flows since the last snapshot.
     bool m_isDraining = false;
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -29,6 +29,11 @@
                                  .Help("Datagrams that could not be read")
                                  .Register(registry)
                                  .Add({}))
+        , deferred(prometheus::BuildCounter()
+                       .Name("oriolelever_deferred_openings_total")
+                       .Help("Opening packets that waited until a server was known")
+                       .Register(registry)
+                       .Add({}))
         , flows(prometheus::BuildGauge()
                     .Name("oriolelever_cached_flows")
                     .Help("Flows in the cache")
@@ -54,6 +59,7 @@
     prometheus::Family<prometheus::Counter> &packetFamily;
     std::array<prometheus::Counter *, steeringCauseCount> packetsByCause{};
     prometheus::Counter &malformedDatagrams;
+    prometheus::Counter &deferred;
     prometheus::Gauge &flows;
     prometheus::Gauge &version;
     prometheus::Gauge &reachableAgents;
@@ -89,11 +95,13 @@
         [this](std::span<std::uint8_t> bytes, const Endpoint &from) { handleAgentMessage(bytes, from); }));
     // All datagrams leave by the agents' socket, so that agents answer to where reports arrive.
     m_callerSocket.afterBatch = [this] {
+        placeDeferredOpenings();
         resolveUnknownFlows(m_now);
         m_agentSocket.flush();
         m_now = {};
     };
     m_agentSocket.afterBatch = [this] {
+        placeDeferredOpenings();
         resolveUnknownFlows(m_now);
         m_agentSocket.flush();
         m_now = {};
@@ -211,7 +219,54 @@
         m_log.write(m_now, "datagram_malformed", "port", "callers", "size", bytes.size());
         return;
     }
-    applyDecision(steerCallerPacket(m_state, segment, m_now), segment, bytes);
+    const auto decision = steerCallerPacket(m_state, segment, m_now);
+    if (!deferOpening(decision, segment, bytes)) {
+        applyDecision(decision, segment, bytes);
+    }
+}
+
+bool SteeringNode::deferOpening(const SteeringDecision &decision, const Segment &segment,
+                                std::span<const std::uint8_t> bytes)
+{
+    if (decision.cause != SteeringCause::NotReady || !segment.opens()
+        || !defer(m_deferred, m_options.defer, flowFromCaller(segment), bytes, m_now)) {
+        return false;
+    }
+    m_counters->deferred.Increment();
+    m_log.write(m_now, "opening_deferred", "flow", flowText(segment.source, segment.destination), "deferred",
+                m_deferred.openings.size(), "version", m_state.table.version, "agents",
+                m_state.backends.size());
+    return true;
+}
+
+void SteeringNode::placeDeferredOpenings()
+{
+    // Attempts for packets that stay deferred are limited, as each goes through all servers.
+    constexpr int maxFailedAttempts = 8;
+    if (m_now == TimePoint{} || !m_state.hasTable || !m_state.hasAgentList
+        || !beginRetry(m_deferred, m_options.defer, m_now)) {
+        return;
+    }
+    auto openings = std::exchange(m_deferred.openings, {});
+    auto &remaining = m_deferred.openings;
+    int failedAttempts = 0;
+    for (auto &opening : openings) {
+        Segment segment;
+        if (failedAttempts == maxFailedAttempts || !m_options.format.parse(opening.packet(), segment)) {
+            remaining.push_back(opening);
+            continue;
+        }
+        const auto decision = steerCallerPacket(m_state, segment, m_now);
+        if (decision.cause == SteeringCause::NotReady) {
+            ++failedAttempts;
+            remaining.push_back(opening);
+            continue;
+        }
+        applyDecision(decision, segment, opening.packet());
+    }
+    // Those that were not tried come first in the next attempt.
+    std::rotate(remaining.begin(), remaining.begin() + failedAttempts, remaining.end());
+    m_agentSocket.flush();
 }
 
 void SteeringNode::applyDecision(const SteeringDecision &decision, const Segment &segment,
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -344,6 +344,22 @@
     EXPECT_EQ(hosts[0]->server->requests + hosts[1]->server->requests, 1);
 }
 
+// Guards against callers that wait for their retransmission after a start of everything, while servers idle.
+TEST_F(GatePathTest, AnOpeningThatComesBeforeTheConfigurationIsPlacedWithoutACopy)
+{
+    startBalancer();
+    send(4001, synFlag, 0, 0);
+    send(4002, synFlag, 0, 0);
+    runUntil(context, [&] { return balancer->deferredOpenings() == 2; });
+    ASSERT_EQ(balancer->deferredOpenings(), 2U);
+    connectAgents();
+    runUntil(context, [&] { return received.size() == 2; });
+    ASSERT_EQ(received.size(), 2U);
+    EXPECT_TRUE(received[0].syn && received[0].ack);
+    EXPECT_TRUE(received[1].syn && received[1].ack);
+    EXPECT_EQ(balancer->deferredOpenings(), 0U);
+}
+
 TEST_F(GatePathTest, FlowsSurviveABalancerRestart)
 {
     for (std::uint16_t port = 4001; port < 4009; ++port) {
