A balancer that falls behind takes no host for lost

A balancer of a few hundredths of a core that searches many flows gets its datagrams in full batches; what does not fit into the socket's queue is dropped, reports among them, and open flows of a serving server may then be reset.

Change: the time is counted from the last full batch of agents' datagrams. An agent that has never reported is not affected, so that a start is as fast as before.

--- a/include/oriolelever/packet-port.h
+++ b/include/oriolelever/packet-port.h
@@ -54,6 +54,12 @@
         return m_lostDatagrams;
     }
 
+    /// Whether the last batch was full, so that more datagrams may be waiting, or may have been dropped.
+    bool isLastBatchFull() const
+    {
+        return m_isLastBatchFull;
+    }
+
     /// Called after each batch of received datagrams.
     std::function<void()> afterBatch;
 
@@ -69,6 +75,7 @@
     std::array<std::array<std::uint8_t, maxCopySize>, 2 * batchSize> m_copies{}; ///< Buffers of `sendCopy`.
     std::size_t m_usedCopies = 0; ///< Buffers used since the last flush.
     std::uint64_t m_lostDatagrams = 0;
+    bool m_isLastBatchFull = false;
 };
 
 /// Queues a reset for the caller of `reset.flow`, at the caller's address and `callerPort`.
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -225,6 +225,9 @@
     std::unordered_map<FlowKey, SteeredFlow> flows; ///< The cache.
     /// Flows whose packets were dropped because their holder could not be determined.
     std::vector<FlowKey> unresolvedFlows;
+    /// When the agents' datagrams came last in a full batch: reports may have been dropped before they were
+    /// read.
+    TimePoint lastBacklogAt{};
     TimePoint lastSearchStartedAt{}; ///< When a search started last.
     TimePoint lastOfferAt{}; ///< When a search last offered a packet to an agent that no note named.
     std::uint32_t selectionCounter = 0; ///< Counts placements; varies the choice of service and tie-breaks.
--- a/src/packet-port.cc
+++ b/src/packet-port.cc
@@ -42,6 +42,7 @@
 void PacketPort::receive()
 {
     const auto count = m_receiveBatch.receive(m_socket);
+    m_isLastBatchFull = count == batchSize;
     for (std::size_t i = 0; i < count; ++i) {
         if (m_receiveBatch.isTruncated(i)) {
             ++m_lostDatagrams;
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -101,6 +101,9 @@
         m_now = {};
     };
     m_agentSocket.afterBatch = [this] {
+        if (m_agentSocket.isLastBatchFull() && m_now != TimePoint{}) {
+            m_state.lastBacklogAt = m_now;
+        }
         placeDeferredOpenings();
         resolveUnknownFlows(m_now);
         m_agentSocket.flush();
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -276,10 +276,12 @@
 }
 
 // Since when the balancer has waited for the agent's next report. The report that an agent of another zone
-// sent last, before it was asked to report more often, may be older than a restart takes.
-TimePoint reportExpectedSince(const Backend &backend)
+// sent last, before it was asked to report more often, may be older than a restart takes. A balancer that
+// does not keep up with its agents' datagrams waits anew, as the report may have been dropped.
+TimePoint reportExpectedSince(const SteeringState &state, const Backend &backend)
 {
-    return std::max({backend.reportedAt, backend.knownSince, backend.reportPeriodSetAt});
+    const auto asked = std::max({backend.reportedAt, backend.knownSince, backend.reportPeriodSetAt});
+    return backend.reportedAt == TimePoint{} ? asked : std::max(asked, state.lastBacklogAt);
 }
 
 // Counts the agents whose servers may hold the flow, given all that agents have returned and reported. An
@@ -302,7 +304,7 @@
             const bool hasReported = backend.reportedAt != TimePoint{};
             const auto limit
                 = hasReported ? state.options.restartTimeout : state.options.neverReportedTimeout;
-            undecidedAgents.unreachable += now - reportExpectedSince(backend) < limit ? 1 : 0;
+            undecidedAgents.unreachable += now - reportExpectedSince(state, backend) < limit ? 1 : 0;
         } else if (!excludesFlow(state, backend, flow, flowHash, now)) {
             ++undecidedAgents.notOffered;
         } else if (!isFilterConclusive(backend, flow)) {
@@ -422,7 +424,8 @@
 bool isHostLost(const SteeringState &state, const Backend &backend, TimePoint now)
 {
     return !isReachable(state, backend, now)
-        && now - reportExpectedSince(backend) > state.options.restartTimeout && !isIsolated(state, now);
+        && now - reportExpectedSince(state, backend) > state.options.restartTimeout
+        && !isIsolated(state, now);
 }
 
 // Forwards a packet to the known holder. An acknowledgement that differs from the first one shows that the
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -1012,6 +1012,26 @@
     EXPECT_EQ(data(1).cause, SteeringCause::NotHeld) << "several hellos were sent since";
 }
 
+// Guards against resets of open flows by a small balancer whose receive queue has overflowed, so that it has
+// missed the reports of an agent that serves.
+TEST_F(SteeringTest, ABalancerThatFallsBehindTakesNoHostForLost)
+{
+    reportThreeReady();
+    open(1);
+    const auto reportOthers = [&] {
+        report("10.0.0.1", {.state = BackendState::Ready, .slots = 2});
+        report("10.0.0.3", {.zone = idOf<ZoneId>("b"), .state = BackendState::Ready, .slots = 2});
+    };
+    now += milliseconds(600);
+    state.lastBacklogAt = now;
+    now += state.options.restartTimeout;
+    reportOthers();
+    EXPECT_EQ(data(1).action, SteeringAction::Forward);
+    now += milliseconds(1);
+    reportOthers();
+    EXPECT_EQ(data(1).cause, SteeringCause::NotHeld) << "it has kept up for as long as a restart takes";
+}
+
 TEST_F(SteeringTest, ABalancerThatHearsNoAgentResetsNoFlowOfALostHost)
 {
     reportThreeReady();
