Agents order the work that waits for their server by the terms of its routes

Cause: a server with more work than it can start serves it in order of arrival, and requests of open flows passed the agent at once while opening packets waited. Urgent requests became late behind others.

Change: request-schedule.h replaces opening-queue.h. Opening packets and requests of open flows wait in one schedule. Its order: priority, goal in reach, remaining time, share of the caller's address; a priority that had no start during eight more urgent ones gets the next. Opening packets that cannot be served in time are returned at once. It is active while packets of the last 10 s have shown two priorities; otherwise packets are handled as before. Reports carry what waits to balancers that accept it.

opening-queue-test.cc keeps its checks and calls the merged module.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -88,16 +88,25 @@
     /// Marks a packet with the balancer that gets it if the server rejects it, and counts it as delivered.
     /// The caller sends it.
     void prepareDelivery(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer);
-    /// Adds an opening packet to the queue, or returns it if the queue is full.
-    void queueOpening(std::span<std::uint8_t> packet, const Segment &segment, ServiceId intendedService,
+    /// Adds an opening packet to the schedule, or returns it if it cannot be served in time.
+    void queueOpening(std::span<std::uint8_t> packet, const Segment &segment, const PeerHeader &header,
                       const IpAddress &balancer);
-    /// Delivers queued opening packets while the server is not busy, and returns those that waited too long.
+    /// Adds a packet of an open flow to the schedule. Without space, the whole request is delivered.
+    void holdRequest(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer);
+    /// Delivers waiting work while the server is not busy, and returns opening packets that cannot be served
+    /// in time.
     void serveQueue(TimePoint now);
-    void returnOpening(const QueuedOpening &opening, ReturnReason reason, TimePoint now);
+    /// Delivers the packets of a held request in order. `cause` is logged.
+    void releaseRequest(WaitingWork &request, std::string_view cause, TimePoint now);
+    /// Drops the held request of a flow that one of its ends has reset: the server would only return it.
+    void dropRequestOf(const FlowKey &flow, std::string_view cause);
+    void recordDroppedRequests(std::span<const WaitingWork> requests, std::string_view cause, TimePoint now);
+    void refuseOpening(OpeningRefusal &refusal, TimePoint now);
+    void returnOpening(WaitingWork &opening, ReturnReason reason, TimePoint now);
     /// Sends resets to the callers of all flows, as their server has ended. `cause` is logged.
     void resetAllFlows(std::string_view cause);
     /// Returns the current report.
-    Report currentReport(TimePoint now, bool withFlows);
+    Report currentReport(TimePoint now, bool withFlows, bool withCapacity);
     /// Sends the current report to all known balancers.
     void sendReports();
     /// Sends the current report to the balancers whose period has passed.
@@ -120,6 +129,7 @@
         TimePoint lastReportAt{}; ///< When a report was sent to it last.
         std::chrono::milliseconds reportPeriod{0}; ///< As its last Hello stated.
         ZoneId zone; ///< As its last Hello stated; unset before the first.
+        bool acceptsCapacity = false; ///< As its last Hello stated.
     };
 
     asio::io_context &m_context;
@@ -136,6 +146,7 @@
     TimePoint m_lastFlowList{};
     bool m_wasFailing = false; ///< As the last reports to all balancers stated.
     TimePoint m_lastProbe{};
+    TimePoint m_lastRefusalCheck{}; ///< Of all waiting opening packets.
     std::uint64_t m_loggedLostDatagrams = 0; ///< Lost datagrams that the log has stated.
     TimePoint m_lastExpiry{};
 };
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "oriolelever/flow-registry.h"
-#include "oriolelever/opening-queue.h"
 #include "oriolelever/peer-message.h"
+#include "oriolelever/request-schedule.h"
 #include "oriolelever/segment.h"
 
 namespace oriolelever {
@@ -65,7 +65,16 @@
     /// A request that has had no answer for longer no longer counts: its caller has given up, or its answer
     /// was not recognized.
     std::chrono::milliseconds maxRequestTime{10'000};
-    OpeningQueueOptions openingQueue;
+    ScheduleOptions schedule;
+    /// How long a priority that a flow has shown counts, see `isScheduling`. Longer than the pauses of flows
+    /// in use.
+    std::chrono::milliseconds priorityRetention{10'000};
+    /// A request that has been with the server for longer than this, and for `overdueWorkTimes` of the usual
+    /// time, does not keep others from being started: its caller may be gone, or a packet of it lost.
+    std::chrono::milliseconds overdueTime{400};
+    int overdueWorkTimes = 8; ///< Beyond the longest requests, which take seven times the mean.
+    /// After the last answer, for which the usual time of a request is used.
+    std::chrono::milliseconds paceRetention{10'000};
     /// Flows that the server resets instead of answering their requests, without an answer in between, before
     /// it is failing.
     std::uint32_t maxConsecutiveResets = 3;
@@ -85,6 +94,10 @@
     bool ended = false; ///< Closed by both ends, or by a reset.
     bool requestUnanswered = false; ///< Payload of the caller was delivered and has no answer yet.
     bool firstRequestExpected = false; ///< Counted in `GateState::expectedRequests`.
+    bool isRequestHeld = false; ///< A request of it waits in `GateState::schedule`.
+    bool isRequestOverdue = false; ///< Counted in `GateState::overdueRequests`.
+    std::uint16_t requestsAtStart = 0; ///< Requests with the server when this one started, itself included.
+    RouteTerms terms; ///< Of the last packet that stated any.
     std::uint32_t lastCallerAcknowledgement = 0; ///< Acknowledgement number of the caller's last packet.
     TimePoint lastPacketAt{}; ///< Last packet of either end.
     TimePoint openingDeliveredAt{}; ///< First opening packet; valid while `openingUnanswered`.
@@ -127,7 +140,13 @@
     std::uint32_t ejections = 0; ///< Since the server's last answer.
     TimePoint ejectedUntil{}; ///< End of the last ejection.
     DocumentRevisions documents; ///< The latest that balancers have stated.
-    OpeningQueue openingQueue; ///< Opening packets that wait until the server is no longer busy.
+    RequestSchedule schedule; ///< Work that waits until the server is no longer busy.
+    std::uint32_t overdueRequests = 0; ///< Flows with `isRequestOverdue`.
+    std::uint32_t openings = 0; ///< Opening packets that have arrived since the agent's start; wraps.
+    /// When a packet last showed each priority; unset if none has since the server's start.
+    std::array<TimePoint, lowestPriority + 1> priorityShownAt{};
+    Duration usualWork{0}; ///< Moving mean of the time for which a request occupies a slot; 0 if unknown.
+    TimePoint usualWorkAt{}; ///< Last answer in `usualWork`.
     TimePoint unansweredOpeningSince{}; ///< First opening packet since the server's last packet; else unset.
     TimePoint unansweredPayloadSince{}; ///< First payload since the server's last packet; else unset.
     std::unordered_map<FlowKey, HeldFlow> flows;
@@ -142,7 +161,8 @@
 enum class GateAction : std::uint8_t {
     Deliver, ///< To the server.
     Return, ///< To the balancer.
-    Queue, ///< An opening packet waits in `GateState::openingQueue`; the caller of `admit` adds it.
+    Queue, ///< An opening packet waits in `GateState::schedule`; the caller of `admit` adds it.
+    Hold, ///< A packet of an open flow waits in `GateState::schedule`; the caller of `admit` adds it.
     Drop,
 };
 
@@ -154,23 +174,48 @@
 
 /// Decides about a caller's packet, and updates the flow if the packet is delivered. `intendedService` is the
 /// service that the balancer chose the server for. A busy server's opening packet is returned if
-/// `mayReturnBusy`, and otherwise waits.
+/// `mayReturnBusy`, and otherwise waits. `terms` are those of the packet's route, the default if none are
+/// known.
 GateDecision admit(GateState &state, const Segment &segment, ServiceId intendedService, TimePoint now,
-                   bool mayReturnBusy = false);
+                   bool mayReturnBusy = false, const RouteTerms &terms = {});
 
 /// Number of requests that the server has, including those that it will get right after a flow was opened.
 std::uint32_t pendingRequests(GateState &state, TimePoint now);
 
-/// Whether the server has more requests than it can start soon, see `GateOptions::busyRequestsPerSlot`.
+/// Requests that the server answers well at a time.
+std::uint32_t concurrencyLimit(const GateState &state);
+
+/// How fast the server answers; zero if it has not answered for `GateOptions::paceRetention`.
+SchedulePace currentPace(const GateState &state, TimePoint now);
+
+/// Whether the server's flows have lately shown at least two priorities. Only then requests of open flows are
+/// held, and the server gets no more work than it can start.
+bool isScheduling(const GateState &state, TimePoint now);
+
+/// Whether the server has as much work as it may get: `concurrencyLimit` and one request, so that it is never
+/// idle between two answers, while `isScheduling`; `GateOptions::busyRequestsPerSlot` otherwise.
 bool isBusy(GateState &state, TimePoint now);
 
+/// Marks requests that have been with the server for too long, see `GateOptions::overdueTime`. Call it while
+/// work waits, at intervals well below that time.
+void markOverdueRequests(GateState &state, TimePoint now);
+
 /// Whether the server has been ejected because it resets flows, see `GateOptions::maxConsecutiveResets`, or
 /// has still to show by one request that it answers again.
 bool isFailing(GateState &state, TimePoint now);
 
-/// Decides about an opening packet from the queue: whether it is delivered, or returned since the server has
+/// Decides about an opening packet that has waited: whether it is delivered, or returned since the server has
 /// changed meanwhile.
-GateDecision admitQueued(GateState &state, const QueuedOpening &opening, TimePoint now);
+GateDecision admitQueued(GateState &state, const WaitingWork &opening, TimePoint now);
+
+/// Updates the flow for a held packet that is delivered now.
+void recordRelease(GateState &state, const Segment &segment, TimePoint now);
+
+/// Removes the held request of a flow that has ended; returns false if there is none.
+bool dropHeldRequest(GateState &state, const FlowKey &flow, WaitingWork &out);
+
+/// What waits for the server, as reports state it.
+ServerCapacity waitingWork(const GateState &state, TimePoint now);
 
 /// Latencies of the server that a packet completes; unset where it completes none.
 struct ServerLatencies
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -162,6 +162,28 @@
                 "the opening packet waited at {}: its server was busy with {} requests, {} openings "
                 "waited",
                 event.node, fieldText(event.fields, "waiting"), fieldText(event.fields, "queued"));
+        } else if (event.event == "opening_refused" && !ended) {
+            explanation.outcome = formatCode(Code::RefusedNotRun);
+            explanation.cause = fmt::format(
+                "{} returned the opening packet: the wait of {} ms that it expected at its server exceeded "
+                "the {} ms that the caller had left",
+                event.node, fieldText(event.fields, "expected_wait_ms"),
+                fieldText(event.fields, "remaining_ms"));
+        } else if (event.event == "request_held" && !ended) {
+            explanation.outcome = formatCode(Code::OutcomeUnknown);
+            explanation.cause
+                = fmt::format("a request of priority {} waited at {}: its server had {} requests, {} others "
+                              "waited",
+                              fieldText(event.fields, "priority"), event.node,
+                              fieldText(event.fields, "waiting"), fieldText(event.fields, "held"));
+        } else if (event.event == "request_released" && !ended) {
+            explanation.outcome = "open";
+            explanation.cause = fmt::format("a request waited at {} for {} ms, then went to its server",
+                                            event.node, fieldText(event.fields, "held_ms"));
+        } else if (event.event == "request_dropped" && !ended) {
+            explanation.outcome = formatCode(Code::RefusedNotRun);
+            explanation.cause = fmt::format("{} dropped a waiting request, as its flow had ended: {}",
+                                            event.node, fieldText(event.fields, "cause"));
         } else if (event.event == "flow_delivered" && !ended) {
             explanation.outcome = "open";
             explanation.cause = "no event in the logs ended it";
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -13,12 +13,29 @@
 namespace {
 
 constexpr std::chrono::seconds expiryPeriod{5};
+// Between two checks of all waiting opening packets, whose cost grows with their number. Well below the
+// shortest goal of 50 ms.
+constexpr std::chrono::milliseconds refusalCheckPeriod{20};
 
 // Seconds; densest around the latency targets of the expected workloads.
 const prometheus::Histogram::BucketBoundaries openingLatencyBounds{0.0005, 0.001, 0.002, 0.005,
                                                                    0.01,   0.05,  0.2,   1};
 const prometheus::Histogram::BucketBoundaries answerLatencyBounds{0.005, 0.01, 0.02, 0.05, 0.1,
                                                                   0.15,  0.25, 0.5,  1,    5};
+const prometheus::Histogram::BucketBoundaries waitBounds{0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 5};
+
+// What happens to work that waits; in the order of `Counters::workOutcomes`.
+enum class WorkOutcome : std::uint8_t {
+    QueuedOpening,
+    DeliveredOpening,
+    RefusedOpening,
+    HeldRequest,
+    ReleasedRequest,
+    DroppedRequest,
+};
+constexpr std::array<const char *, 6> workOutcomeNames{"opening_queued",   "opening_delivered",
+                                                       "opening_refused",  "request_held",
+                                                       "request_released", "request_dropped"};
 
 } // namespace
 
@@ -55,7 +72,39 @@
                      .Help("From a request's first packet to the first packet of its answer")
                      .Register(registry)
                      .Add({}, answerLatencyBounds))
+        , wait(prometheus::BuildHistogram()
+                   .Name("oriolelever_work_wait_seconds")
+                   .Help("From the arrival of work that waited at the agent to its delivery")
+                   .Register(registry)
+                   .Add({}, waitBounds))
+        , workFamily(prometheus::BuildCounter()
+                         .Name("oriolelever_waiting_work_total")
+                         .Help("Opening packets and requests that waited at the agent")
+                         .Register(registry))
+        , waitingWorkFamily(prometheus::BuildGauge()
+                                .Name("oriolelever_waiting_work")
+                                .Help("Opening packets and requests that wait at the agent")
+                                .Register(registry))
+        , waitingOpenings(waitingWorkFamily.Add({{"kind", "opening"}}))
+        , heldRequests(waitingWorkFamily.Add({{"kind", "request"}}))
+    {
+        for (std::size_t outcome = 0; outcome < workOutcomes.size(); ++outcome) {
+            for (std::size_t priority = 0; priority <= lowestPriority; ++priority) {
+                workOutcomes[outcome][priority] = &workFamily.Add(
+                    {{"outcome", workOutcomeNames[outcome]}, {"priority", std::to_string(priority)}});
+            }
+        }
+    }
+
+    void count(WorkOutcome outcome, const WaitingWork &work)
+    {
+        const auto priority = std::min(work.terms.priority, lowestPriority);
+        workOutcomes[static_cast<std::size_t>(outcome)][priority]->Increment();
+    }
+
+    void observeWait(const WaitingWork &work, TimePoint now)
     {
+        wait.Observe(std::chrono::duration<double>(now - work.queuedAt).count());
     }
 
     void observe(const ServerLatencies &latencies)
@@ -79,6 +128,12 @@
     prometheus::Gauge &waiting;
     prometheus::Histogram &opening;
     prometheus::Histogram &answer;
+    prometheus::Histogram &wait;
+    prometheus::Family<prometheus::Counter> &workFamily;
+    std::array<std::array<prometheus::Counter *, lowestPriority + 1>, workOutcomeNames.size()> workOutcomes{};
+    prometheus::Family<prometheus::Gauge> &waitingWorkFamily;
+    prometheus::Gauge &waitingOpenings;
+    prometheus::Gauge &heldRequests;
 };
 
 // A connection attempt to the backend server; closed as soon as it is accepted or refused.
@@ -129,10 +184,13 @@
         }));
     // The clock is read once for each batch of datagrams.
     m_relay.afterBatch = [this] {
+        if (!m_state.schedule.work.empty()) {
+            serveQueue(steadyNow());
+        }
         m_now = {};
     };
     m_outbound.afterBatch = [this] {
-        if (!m_state.openingQueue.openings.empty()) {
+        if (!m_state.schedule.work.empty()) {
             serveQueue(steadyNow());
         }
         m_now = {};
@@ -193,18 +251,27 @@
         return;
     }
     const ServiceId intendedService{header.number};
-    const auto decision = admit(m_state, segment, intendedService, m_now, header.mayReturnBusy);
+    if (segment.rst) {
+        dropRequestOf(flowFromCaller(segment), "caller_reset");
+    }
+    const auto decision = admit(m_state, segment, intendedService, m_now, header.mayReturnBusy,
+                                header.terms.value_or(RouteTerms{}));
     switch (decision.action) {
     case GateAction::Deliver:
         prepareDelivery(packet, segment, from.address);
         m_relay.send(packet, m_options.server);
         return;
     case GateAction::Queue:
-        queueOpening(packet, segment, intendedService, from.address);
+        queueOpening(packet, segment, header, from.address);
+        return;
+    case GateAction::Hold:
+        holdRequest(packet, segment, from.address);
         return;
     case GateAction::Return:
         returnPacket(m_relay, packet, from.address, decision.reason,
-                     decision.reason == ReturnReason::Busy ? pendingRequests(m_state, m_now) : 0);
+                     decision.reason == ReturnReason::Busy ? pendingRequests(m_state, m_now)
+                             + static_cast<std::uint32_t>(m_state.schedule.requests)
+                                                           : 0);
         m_log.write(m_now, "packet_returned", "flow", flowText(segment.source, segment.destination), "reason",
                     toString(decision.reason), "server_state", toString(m_state.serverState), "opening",
                     segment.opens());
@@ -230,62 +297,164 @@
     }
 }
 
-void GateNode::queueOpening(std::span<std::uint8_t> packet, const Segment &segment, ServiceId intendedService,
+void GateNode::queueOpening(std::span<std::uint8_t> packet, const Segment &segment, const PeerHeader &header,
                             const IpAddress &balancer)
 {
-    QueuedOpening opening{.flow = flowFromCaller(segment),
-                          .intendedService = intendedService,
-                          .balancer = balancer,
-                          .queuedAt = m_now,
-                          .size = packet.size()};
-    const bool fits = packet.size() <= opening.bytes.size();
-    if (fits) {
-        std::copy(packet.begin(), packet.end(), opening.bytes.begin());
-    }
-    if (!fits || !enqueue(m_state.openingQueue, m_options.gate.openingQueue, opening)) {
+    WaitingWork opening{.flow = flowFromCaller(segment),
+                        .isOpening = true,
+                        .terms = header.terms.value_or(RouteTerms{}),
+                        .intendedService = ServiceId{header.number},
+                        .queuedAt = m_now,
+                        .waitedBefore = waitBeforeCopy(segment.acknowledgement)};
+    if (packet.size() > maxOpeningSize) {
         returnPacket(m_relay, packet, balancer, ReturnReason::Full);
         m_log.write(m_now, "packet_returned", "flow", flowText(segment.source, segment.destination), "reason",
                     toString(ReturnReason::Full), "server_state", toString(m_state.serverState), "opening",
                     true);
         return;
     }
+    opening.packets.push_back({.balancer = balancer, .bytes = {packet.begin(), packet.end()}});
+    const auto &options = m_options.gate.schedule;
+    const auto priority = opening.terms.priority;
+    auto added
+        = addOpening(m_state.schedule, options, currentPace(m_state, m_now), std::move(opening), m_now);
+    if (added.refusal) {
+        refuseOpening(*added.refusal, m_now);
+    }
+    if (!added.accepted) {
+        return;
+    }
     m_counters->queued.Increment();
+    if (!added.isCopy) {
+        m_counters->count(WorkOutcome::QueuedOpening, m_state.schedule.work.back());
+    }
     m_log.write(m_now, "flow_queued", "flow", flowText(segment.source, segment.destination), "balancer",
-                toString(balancer), "queued", m_state.openingQueue.openings.size(), "waiting",
-                m_state.waitingFlows);
+                toString(balancer), "queued", m_state.schedule.work.size() - m_state.schedule.requests,
+                "waiting", m_state.waitingFlows, "held", m_state.schedule.requests, "priority", priority);
+}
+
+void GateNode::holdRequest(std::span<std::uint8_t> packet, const Segment &segment, const IpAddress &balancer)
+{
+    const auto key = flowFromCaller(segment);
+    const auto found = m_state.flows.find(key);
+    const auto terms = found == m_state.flows.end() ? RouteTerms{} : found->second.terms;
+    const auto outcome
+        = holdPacket(m_state.schedule, m_options.gate.schedule, key, terms, segment, packet, balancer, m_now);
+    if (outcome == HeldPacketOutcome::NewRequest) {
+        const auto &request = m_state.schedule.work.back();
+        m_counters->count(WorkOutcome::HeldRequest, request);
+        m_log.write(m_now, "request_held", "flow", flowText(key.caller, key.service), "balancer",
+                    toString(balancer), "priority", terms.priority, "goal_ms", terms.latencyGoal,
+                    "time_limit_ms", terms.timeLimit, "waiting", pendingRequests(m_state, m_now), "limit",
+                    concurrencyLimit(m_state) + 1, "held", m_state.schedule.requests, "queued",
+                    m_state.schedule.work.size() - m_state.schedule.requests);
+    }
+    if (outcome != HeldPacketOutcome::NoSpace) {
+        return;
+    }
+    if (WaitingWork request; dropHeldRequest(m_state, key, request)) {
+        releaseRequest(request, "no_space", m_now);
+    }
+    recordRelease(m_state, segment, m_now);
+    prepareDelivery(packet, segment, balancer);
+    m_relay.send(packet, m_options.server);
 }
 
 void GateNode::serveQueue(TimePoint now)
 {
-    const auto &options = m_options.gate.openingQueue;
-    QueuedOpening opening;
-    while (takeExpired(m_state.openingQueue, options, now, opening)) {
-        returnOpening(opening, ReturnReason::Full, now);
+    const auto &options = m_options.gate.schedule;
+    auto &schedule = m_state.schedule;
+    if (now - m_lastRefusalCheck >= refusalCheckPeriod) {
+        m_lastRefusalCheck = now;
+        OpeningRefusal refusal;
+        while (takeExpired(schedule, options, currentPace(m_state, now), now, refusal)) {
+            refuseOpening(refusal, now);
+        }
     }
-    while (!isBusy(m_state, now) && takeNext(m_state.openingQueue, options, now, opening)) {
-        const auto decision = admitQueued(m_state, opening, now);
+    NextWork next;
+    while (!isBusy(m_state, now) && takeNext(schedule, options, currentPace(m_state, now), now, next)) {
+        auto &work = next.work;
+        if (!work.isOpening) {
+            releaseRequest(work, next.cause == StartCause::Order ? "order" : "lower_priority", now);
+            continue;
+        }
+        const auto decision = admitQueued(m_state, work, now);
         if (decision.action == GateAction::Return) {
-            returnOpening(opening, decision.reason, now);
+            returnOpening(work, decision.reason, now);
             continue;
         }
-        const std::span<std::uint8_t> packet(opening.bytes.data(), opening.size);
+        auto &packet = work.packets.front();
+        Segment segment;
+        if (m_options.format.parse(packet.bytes, segment)) {
+            m_counters->count(WorkOutcome::DeliveredOpening, work);
+            m_counters->observeWait(work, now);
+            prepareDelivery(packet.bytes, segment, packet.balancer);
+            m_relay.sendCopy(packet.bytes, m_options.server);
+        }
+    }
+    m_relay.flush();
+}
+
+void GateNode::releaseRequest(WaitingWork &request, std::string_view cause, TimePoint now)
+{
+    for (auto &packet : request.packets) {
         Segment segment;
-        if (m_options.format.parse(packet, segment)) {
-            prepareDelivery(packet, segment, opening.balancer);
-            m_relay.sendCopy(packet, m_options.server);
+        if (!m_options.format.parse(packet.bytes, segment)) {
+            continue;
         }
+        recordRelease(m_state, segment, now);
+        prepareDelivery(packet.bytes, segment, packet.balancer);
+        m_relay.send(packet.bytes, m_options.server);
     }
+    // The port does not copy the packets, which end with `request`.
     m_relay.flush();
+    m_counters->count(WorkOutcome::ReleasedRequest, request);
+    m_counters->observeWait(request, now);
+    m_log.write(now, "request_released", "flow", flowText(request.flow.caller, request.flow.service), "cause",
+                cause, "held_ms", now - request.queuedAt, "priority", request.terms.priority, "packets",
+                request.packets.size(), "abandoned", request.isAbandoned, "waiting",
+                pendingRequests(m_state, now), "held", m_state.schedule.requests);
 }
 
-void GateNode::returnOpening(const QueuedOpening &opening, ReturnReason reason, TimePoint now)
+void GateNode::dropRequestOf(const FlowKey &flow, std::string_view cause)
 {
-    std::array<std::uint8_t, peerHeaderSize + maxOpeningSize> message{};
+    if (WaitingWork request; dropHeldRequest(m_state, flow, request)) {
+        recordDroppedRequests({&request, 1}, cause, m_now);
+    }
+}
+
+void GateNode::recordDroppedRequests(std::span<const WaitingWork> requests, std::string_view cause,
+                                     TimePoint now)
+{
+    for (const auto &request : requests) {
+        m_counters->count(WorkOutcome::DroppedRequest, request);
+        m_log.write(now, "request_dropped", "flow", flowText(request.flow.caller, request.flow.service),
+                    "cause", cause, "held_ms", now - request.queuedAt, "priority", request.terms.priority,
+                    "packets", request.packets.size());
+    }
+}
+
+void GateNode::refuseOpening(OpeningRefusal &refusal, TimePoint now)
+{
+    auto &opening = refusal.work;
+    m_counters->count(WorkOutcome::RefusedOpening, opening);
+    m_log.write(now, "opening_refused", "flow", flowText(opening.flow.caller, opening.flow.service),
+                "expected_wait_ms", refusal.expectedWait, "remaining_ms", refusal.remaining, "waited_ms",
+                now - opening.queuedAt + opening.waitedBefore, "priority", opening.terms.priority, "queued",
+                m_state.schedule.work.size() - m_state.schedule.requests, "held", m_state.schedule.requests,
+                "pace", currentPace(m_state, now).answersPerSecond);
+    returnOpening(opening, ReturnReason::Full, now);
+}
+
+void GateNode::returnOpening(WaitingWork &opening, ReturnReason reason, TimePoint now)
+{
+    const auto &packet = opening.packets.front();
+    std::array<std::uint8_t, PacketPort::maxCopySize> message{};
     encodePeerHeader(message, {.type = PeerMessageType::Return, .reason = reason});
-    std::copy_n(opening.bytes.begin(), opening.size, message.begin() + peerHeaderSize);
+    const auto size = std::min(packet.bytes.size(), message.size() - peerHeaderSize);
+    std::copy_n(packet.bytes.begin(), size, message.begin() + peerHeaderSize);
     m_counters->returned.Increment();
-    m_relay.sendCopy({message.data(), peerHeaderSize + opening.size},
-                     {opening.balancer, m_options.balancerPort});
+    m_relay.sendCopy({message.data(), peerHeaderSize + size}, {packet.balancer, m_options.balancerPort});
     m_log.write(now, "packet_returned", "flow", flowText(opening.flow.caller, opening.flow.service), "reason",
                 toString(reason), "server_state", toString(m_state.serverState), "opening", true, "queued_ms",
                 now - opening.queuedAt);
@@ -342,6 +511,7 @@
     balancer.lastHelloAt = m_now;
     balancer.reportPeriod = hello.reportPeriod;
     balancer.zone = hello.zone;
+    balancer.acceptsCapacity = hello.acceptsCapacity;
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
     mergeRevisions(m_state.documents, hello.documents);
@@ -352,7 +522,7 @@
     if (isNew || hello.wantsFlows) {
         balancer.lastReportAt = m_now;
         std::array<std::uint8_t, maxPeerMessageSize> report{};
-        const auto size = encodeReport(report, currentReport(m_now, true));
+        const auto size = encodeReport(report, currentReport(m_now, true, hello.acceptsCapacity));
         m_relay.sendCopy({report.data(), size}, {from.address, m_options.balancerPort});
     }
     if (hello.unlisted && entryMissing) {
@@ -377,6 +547,7 @@
         m_counters->observe(latencies);
         if (segment.rst) {
             reportFailing(m_now);
+            dropRequestOf(flowFromServer(segment), "server_reset");
         }
         m_outbound.send(bytes, {segment.destination.address, m_options.callerPort});
         return;
@@ -431,9 +602,12 @@
     sendReports();
 }
 
-Report GateNode::currentReport(TimePoint now, bool withFlows)
+Report GateNode::currentReport(TimePoint now, bool withFlows, bool withCapacity)
 {
     auto report = makeReport(m_state, m_options.lifetime, now, withFlows);
+    if (!withCapacity) {
+        report.capacity.reset();
+    }
     report.balancers = static_cast<std::uint16_t>(std::min<std::size_t>(m_balancers.size(), UINT16_MAX));
     return report;
 }
@@ -450,17 +624,19 @@
 {
     // A period ends at the tick that is nearest to it.
     const auto tolerance = m_options.tickPeriod / 2;
-    std::array<std::uint8_t, maxPeerMessageSize> report{};
-    std::size_t size = 0;
+    // Without and with a capacity.
+    std::array<std::array<std::uint8_t, maxPeerMessageSize>, 2> reports{};
+    std::array<std::size_t, 2> sizes{};
     for (auto &[address, balancer] : m_balancers) {
         if (now - balancer.lastReportAt + tolerance < balancer.reportPeriod) {
             continue;
         }
-        if (size == 0) {
-            size = encodeReport(report, currentReport(now, false));
+        const std::size_t form = balancer.acceptsCapacity ? 1 : 0;
+        if (sizes[form] == 0) {
+            sizes[form] = encodeReport(reports[form], currentReport(now, false, balancer.acceptsCapacity));
         }
         balancer.lastReportAt = now;
-        m_relay.sendCopy({report.data(), size}, {address, m_options.balancerPort});
+        m_relay.sendCopy({reports[form].data(), sizes[form]}, {address, m_options.balancerPort});
     }
     m_relay.flush();
 }
@@ -474,7 +650,8 @@
     if (isSuspect(m_state, now)) {
         startProbe(now);
     }
-    if (!m_state.openingQueue.openings.empty()) {
+    if (!m_state.schedule.work.empty()) {
+        markOverdueRequests(m_state, now);
         serveQueue(now);
     }
     reportFailing(now);
@@ -489,6 +666,9 @@
     }
     m_counters->flows.Set(static_cast<double>(m_state.flows.size() - m_state.endedFlows));
     m_counters->waiting.Set(m_state.waitingFlows);
+    m_counters->heldRequests.Set(static_cast<double>(m_state.schedule.requests));
+    m_counters->waitingOpenings.Set(
+        static_cast<double>(m_state.schedule.work.size() - m_state.schedule.requests));
     const auto lostDatagrams = m_relay.lostDatagrams() + m_outbound.lostDatagrams();
     if (lostDatagrams != m_loggedLostDatagrams) {
         m_log.write(now, "datagrams_lost", "count", lostDatagrams - m_loggedLostDatagrams);
@@ -586,6 +766,8 @@
 
 void GateNode::resetAllFlows(std::string_view cause)
 {
+    const auto dropped = takeAllRequests(m_state.schedule);
+    recordDroppedRequests(dropped, cause, steadyNow());
     const auto resets = removeAllFlows(m_state, steadyNow());
     for (const auto &reset : resets) {
         sendReset(m_relay, m_options.format, reset, m_options.callerPort);
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -15,6 +15,8 @@
     }
     flow.requestUnanswered = unanswered;
     state.waitingFlows += unanswered ? 1 : -1;
+    state.overdueRequests -= flow.isRequestOverdue ? 1 : 0;
+    flow.isRequestOverdue = false;
 }
 
 void clearExpectedRequest(GateState &state, HeldFlow &flow)
@@ -56,6 +58,12 @@
     return segment.acknowledgement - flow.serverInitialSequence <= sequenceWindow;
 }
 
+// Requests with which a server is busy whose flows show a single priority, or none.
+std::uint32_t busyRequests(const GateState &state)
+{
+    return state.options.busyRequestsPerSlot * std::max<std::uint32_t>(1, state.lastHeartbeat.slots);
+}
+
 GateDecision returnDecision(ReturnReason reason)
 {
     return {.action = GateAction::Return, .reason = reason};
@@ -152,7 +160,7 @@
     return {};
 }
 
-GateDecision deliverOpening(GateState &state, const FlowKey &key, TimePoint now)
+GateDecision deliverOpening(GateState &state, const FlowKey &key, const RouteTerms &terms, TimePoint now)
 {
     while (!state.recentOpenings.empty()
            && now - state.recentOpenings.front() >= state.options.coldRateWindow) {
@@ -179,21 +187,106 @@
     }
     flow.openingUnanswered = !flow.halfOpen;
     flow.lastPacketAt = now;
+    if (terms != RouteTerms{}) {
+        flow.terms = terms;
+    }
     setIfUnset(state.unansweredOpeningSince, now);
     return {.action = GateAction::Deliver};
 }
 
 GateDecision admitOpening(GateState &state, const Segment &segment, ServiceId intendedService, TimePoint now,
-                          bool mayReturnBusy)
+                          bool mayReturnBusy, const RouteTerms &terms)
 {
     if (const auto reason = reasonAgainstOpening(state, intendedService, now)) {
         return returnDecision(*reason);
     }
     const auto key = flowFromCaller(segment);
-    if (isOpening(state, key) || (!isBusy(state, now) && !(mayReturnBusy && isFailing(state, now)))) {
-        return deliverOpening(state, key, now);
+    // A caller that opens the flow again has given up what it had sent on it.
+    if (WaitingWork dropped; dropHeldRequest(state, key, dropped)) {
+        return deliverOpening(state, key, terms, now);
+    }
+    if (isOpening(state, key)) {
+        return deliverOpening(state, key, terms, now);
+    }
+    if (mayReturnBusy && isFailing(state, now)) {
+        return returnDecision(ReturnReason::Busy);
+    }
+    const bool scheduling = isScheduling(state, now);
+    if (!isBusy(state, now) && !(scheduling && hasLiveWork(state.schedule))) {
+        return deliverOpening(state, key, terms, now);
+    }
+    if (!mayReturnBusy) {
+        return {.action = GateAction::Queue};
+    }
+    if (!scheduling) {
+        return returnDecision(ReturnReason::Busy);
+    }
+    // An urgent opening packet that will be among the next starts is not worth another balancer's round trip.
+    const WaitingWork opening{.flow = key,
+                              .isOpening = true,
+                              .terms = terms,
+                              .queuedAt = now,
+                              .waitedBefore = waitBeforeCopy(segment.acknowledgement)};
+    const auto ahead
+        = workAhead(state.schedule, state.options.schedule, currentPace(state, now), opening, now);
+    return pendingRequests(state, now) + ahead >= busyRequests(state)
+        ? returnDecision(ReturnReason::Busy)
+        : GateDecision{.action = GateAction::Queue};
+}
+
+void startRequest(GateState &state, HeldFlow &flow, TimePoint now)
+{
+    clearExpectedRequest(state, flow);
+    if (!flow.requestUnanswered) {
+        flow.requestStartedAt = now;
+        setRequestUnanswered(state, flow, true);
+        flow.requestsAtStart
+            = static_cast<std::uint16_t>(std::min<std::uint32_t>(state.waitingFlows, UINT16_MAX));
+    }
+    setIfUnset(state.unansweredPayloadSince, now);
+}
+
+// Updates the flow for a caller's packet that is delivered.
+void recordDelivery(GateState &state, HeldFlow &flow, const Segment &segment, TimePoint now)
+{
+    flow.callerClosed |= segment.fin;
+    if (segment.payloadSize > 0 && !flow.ended) {
+        startRequest(state, flow, now);
+    }
+    if (segment.rst || (flow.callerClosed && flow.serverClosed)) {
+        endFlow(state, flow);
     }
-    return mayReturnBusy ? returnDecision(ReturnReason::Busy) : GateDecision{.action = GateAction::Queue};
+}
+
+// Whether a caller's packet waits behind the request of its flow, or starts one that waits.
+bool mustHold(GateState &state, const HeldFlow &flow, const Segment &segment, TimePoint now)
+{
+    if (flow.isRequestHeld) {
+        return !segment.rst && (segment.payloadSize > 0 || segment.fin);
+    }
+    const bool startsRequest
+        = segment.payloadSize > 0 && !flow.ended && !flow.requestUnanswered && !flow.firstRequestExpected;
+    return startsRequest && !segment.rst && flow.terms != RouteTerms{} && isScheduling(state, now)
+        && state.serverState == BackendState::Ready && !isFailing(state, now)
+        && (isBusy(state, now) || hasLiveWork(state.schedule))
+        && hasSpaceForRequest(state.schedule, state.options.schedule);
+}
+
+// Learns the usual work from an answer. A request that starts while others use all slots waits for one of
+// them within the server.
+void recordAnswer(GateState &state, const HeldFlow &flow, Duration answer, TimePoint now)
+{
+    constexpr int weight = 8; // Answers that the mean follows.
+    constexpr int maxFactor = 4; // Bounds the effect of a single long request, and of a stall of the agent.
+    const auto slots = concurrencyLimit(state);
+    auto sample = answer * slots / std::max<std::uint32_t>(slots, flow.requestsAtStart);
+    if (state.usualWork > Duration::zero()) {
+        sample = std::min(sample, state.usualWork * maxFactor);
+        state.usualWork += (sample - state.usualWork) / weight;
+    } else {
+        state.usualWork = sample;
+    }
+    state.usualWorkAt = now;
 }
 
 } // namespace
@@ -228,10 +321,55 @@
     return state.waitingFlows + state.expectedRequests;
 }
 
+std::uint32_t concurrencyLimit(const GateState &state)
+{
+    return std::max<std::uint32_t>(1, state.lastHeartbeat.slots);
+}
+
+SchedulePace currentPace(const GateState &state, TimePoint now)
+{
+    if (state.usualWork <= Duration::zero() || now - state.usualWorkAt > state.options.paceRetention) {
+        return {};
+    }
+    return {.usualWork = state.usualWork,
+            .answersPerSecond
+            = concurrencyLimit(state) / std::chrono::duration<double>(state.usualWork).count()};
+}
+
+bool isScheduling(const GateState &state, TimePoint now)
+{
+    return std::count_if(state.priorityShownAt.begin(), state.priorityShownAt.end(),
+                         [&](TimePoint shownAt) {
+                             return shownAt != TimePoint{} && now - shownAt < state.options.priorityRetention;
+                         })
+        > 1;
+}
+
 bool isBusy(GateState &state, TimePoint now)
 {
-    const auto slots = std::max<std::uint32_t>(1, state.lastHeartbeat.slots);
-    return pendingRequests(state, now) >= state.options.busyRequestsPerSlot * slots;
+    const auto pending = pendingRequests(state, now);
+    if (!isScheduling(state, now)) {
+        return pending >= busyRequests(state);
+    }
+    // The first request of an opened flow is a round trip away. Of those, as many as the server answers in
+    // that time do not use a slot.
+    const auto pace = currentPace(state, now);
+    const auto roundTrip = std::chrono::duration<double>(state.options.schedule.roundTrip).count();
+    const auto distant = static_cast<std::uint32_t>(pace.answersPerSecond * roundTrip);
+    const auto ignored = state.overdueRequests + std::min(state.expectedRequests, distant);
+    return pending >= concurrencyLimit(state) + 1 + ignored;
+}
+
+void markOverdueRequests(GateState &state, TimePoint now)
+{
+    const auto limit
+        = std::max<Duration>(state.options.overdueTime, state.usualWork * state.options.overdueWorkTimes);
+    for (auto &[key, flow] : state.flows) {
+        if (flow.requestUnanswered && !flow.isRequestOverdue && now - flow.requestStartedAt > limit) {
+            flow.isRequestOverdue = true;
+            ++state.overdueRequests;
+        }
+    }
 }
 
 bool isFailing(GateState &state, TimePoint now)
@@ -242,22 +380,27 @@
     return now < state.ejectedUntil || pendingRequests(state, now) > 0;
 }
 
-GateDecision admitQueued(GateState &state, const QueuedOpening &opening, TimePoint now)
+GateDecision admitQueued(GateState &state, const WaitingWork &opening, TimePoint now)
 {
     if (const auto reason = reasonAgainstOpening(state, opening.intendedService, now)) {
         return returnDecision(*reason);
     }
-    return deliverOpening(state, opening.flow, now);
+    return deliverOpening(state, opening.flow, opening.terms, now);
 }
 
 GateDecision admit(GateState &state, const Segment &segment, ServiceId intendedService, TimePoint now,
-                   bool mayReturnBusy)
+                   bool mayReturnBusy, const RouteTerms &terms)
 {
     if (segment.returned || (segment.syn && segment.ack)) {
         return {};
     }
+    const bool hasTerms = terms != RouteTerms{};
+    if (hasTerms) {
+        state.priorityShownAt[std::min(terms.priority, lowestPriority)] = now;
+    }
     if (segment.opens()) {
-        return admitOpening(state, segment, intendedService, now, mayReturnBusy);
+        ++state.openings;
+        return admitOpening(state, segment, intendedService, now, mayReturnBusy, terms);
     }
     const auto key = flowFromCaller(segment);
     const auto found = state.flows.find(key);
@@ -281,21 +424,56 @@
     flow.openingUnanswered = false;
     flow.lastPacketAt = now;
     flow.lastCallerAcknowledgement = segment.acknowledgement;
-    flow.callerClosed |= segment.fin;
-    if (segment.payloadSize > 0 && !flow.ended) {
-        clearExpectedRequest(state, flow);
-        if (!flow.requestUnanswered) {
-            flow.requestStartedAt = now;
-        }
-        setRequestUnanswered(state, flow, true);
-        setIfUnset(state.unansweredPayloadSince, now);
+    if (hasTerms) {
+        flow.terms = terms;
     }
-    if (segment.rst || (flow.callerClosed && flow.serverClosed)) {
-        endFlow(state, flow);
+    if (mustHold(state, flow, segment, now)) {
+        flow.isRequestHeld = true;
+        return {.action = GateAction::Hold};
     }
+    recordDelivery(state, flow, segment, now);
     return {.action = GateAction::Deliver};
 }
 
+void recordRelease(GateState &state, const Segment &segment, TimePoint now)
+{
+    const auto found = state.flows.find(flowFromCaller(segment));
+    if (found == state.flows.end()) {
+        return;
+    }
+    found->second.isRequestHeld = false;
+    found->second.lastPacketAt = now;
+    recordDelivery(state, found->second, segment, now);
+}
+
+bool dropHeldRequest(GateState &state, const FlowKey &flow, WaitingWork &out)
+{
+    const auto found = state.flows.find(flow);
+    if (found == state.flows.end() || !found->second.isRequestHeld) {
+        return false;
+    }
+    found->second.isRequestHeld = false;
+    return takeRequest(state.schedule, flow, out);
+}
+
+ServerCapacity waitingWork(const GateState &state, TimePoint now)
+{
+    const auto &schedule = state.schedule;
+    ServerCapacity capacity{
+        .queuedOpenings = static_cast<std::uint16_t>(schedule.work.size() - schedule.requests),
+        .queuedRequests = static_cast<std::uint16_t>(schedule.requests),
+        .openings = state.openings,
+    };
+    for (const auto &work : schedule.work) {
+        if (work.isAbandoned) {
+            continue;
+        }
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(now - work.queuedAt);
+        capacity.longestWait = std::max(capacity.longestWait, wait);
+    }
+    return capacity;
+}
+
 ServerLatencies recordServerPacket(GateState &state, const Segment &segment, TimePoint now)
 {
     state.unansweredOpeningSince = {};
@@ -329,6 +507,7 @@
     if (segment.payloadSize > 0) {
         if (flow.requestUnanswered) {
             latencies.answer = now - flow.requestStartedAt;
+            recordAnswer(state, flow, *latencies.answer, now);
             state.consecutiveResets = 0;
             state.ejections = 0;
         }
@@ -373,6 +552,7 @@
     state.waitingFlows = 0;
     state.endedFlows = 0;
     state.expectedRequests = 0;
+    state.overdueRequests = 0;
     return resets;
 }
 
@@ -402,6 +582,8 @@
     if (isNewStart) {
         state.consecutiveResets = 0;
         state.ejections = 0;
+        state.priorityShownAt = {};
+        state.usualWork = Duration::zero();
         state.hasSeenServerStart = hasHeartbeat || state.lastHeartbeat.sequence == firstHeartbeatSequence
             || hasStartedBeforeServer(state, now, timeOfDay);
         state.serverStartSeenAt = state.hasSeenServerStart ? now : TimePoint{};
@@ -492,8 +674,9 @@
         // Twice the timeout, as the server may keep an idle flow for longer than required.
         const auto retention
             = flow.ended ? state.options.endedFlowRetention : 2 * effectiveIdleTimeout(state);
-        const bool expired = now - flow.lastPacketAt > retention;
+        const bool expired = !flow.isRequestHeld && now - flow.lastPacketAt > retention;
         state.waitingFlows -= expired && flow.requestUnanswered ? 1 : 0;
+        state.overdueRequests -= expired && flow.isRequestOverdue ? 1 : 0;
         state.endedFlows -= expired && flow.ended ? 1 : 0;
         state.expectedRequests -= expired && flow.firstRequestExpected ? 1 : 0;
         return expired;
@@ -545,12 +728,12 @@
         .state = state.serverState,
         .slots = hasHeartbeat ? state.lastHeartbeat.slots : std::uint16_t{1},
         .flows = static_cast<std::uint32_t>(state.flows.size()) - state.endedFlows,
-        .waiting
-        = pendingRequests(state, now) + static_cast<std::uint32_t>(state.openingQueue.openings.size()),
+        .waiting = pendingRequests(state, now) + static_cast<std::uint32_t>(state.schedule.work.size()),
         .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
         .bornAt = state.lastHeartbeat.startTimeMs,
         .isFailing = isFailing(state, now),
         .documents = state.documents,
+        .capacity = waitingWork(state, now),
         .heldFlowFilter = heldFlowFilter,
     };
 }
--- a/test/opening-queue-test.cc
+++ b/test/opening-queue-test.cc
@@ -1,4 +1,4 @@
-#include "oriolelever/opening-queue.h"
+#include "oriolelever/request-schedule.h"
 
 #include <algorithm>
 
@@ -26,18 +26,19 @@
 public:
     bool add(std::uint16_t port)
     {
-        return enqueue(queue, options, {.flow = flowOf(port), .queuedAt = now});
+        return addOpening(queue, options, {}, {.flow = flowOf(port), .isOpening = true, .queuedAt = now}, now)
+            .accepted;
     }
 
     // Port of the caller whose opening packet is next; 0 if there is none.
     std::uint16_t next()
     {
-        QueuedOpening opening;
-        return takeNext(queue, options, now, opening) ? opening.flow.caller.port : std::uint16_t{0};
+        NextWork opening;
+        return takeNext(queue, options, {}, now, opening) ? opening.work.flow.caller.port : std::uint16_t{0};
     }
 
-    OpeningQueueOptions options{.maxLength = 4};
-    OpeningQueue queue;
+    ScheduleOptions options{.maxOpenings = 4};
+    RequestSchedule queue;
     TimePoint now{std::chrono::hours(1)};
 };
 
@@ -65,7 +66,7 @@
     EXPECT_TRUE(add(1));
     EXPECT_TRUE(add(2));
     EXPECT_TRUE(add(1));
-    EXPECT_EQ(queue.openings.size(), 2U);
+    EXPECT_EQ(queue.work.size(), 2U);
     EXPECT_EQ(next(), 1);
 }
 
@@ -76,11 +77,11 @@
         now += milliseconds(1);
     }
     EXPECT_FALSE(add(5));
-    QueuedOpening opening;
-    EXPECT_FALSE(takeExpired(queue, options, now, opening));
+    OpeningRefusal opening;
+    EXPECT_FALSE(takeExpired(queue, options, {}, now, opening));
     now += options.maxWait - milliseconds(3);
-    ASSERT_TRUE(takeExpired(queue, options, now, opening));
-    EXPECT_EQ(opening.flow.caller.port, 1);
+    ASSERT_TRUE(takeExpired(queue, options, {}, now, opening));
+    EXPECT_EQ(opening.work.flow.caller.port, 1);
 }
 
 // A server of two slots and a queue of eight that takes 48 ms a request while it is cold, behind its gate, in
@@ -170,9 +171,13 @@
         m_sentAt[flow] = m_now;
         const auto decision = admit(m_gate, fromCaller(flow, true), m_gate.options.service, m_now);
         if (decision.action == GateAction::Queue) {
-            EXPECT_TRUE(
-                enqueue(m_gate.openingQueue, {.maxLength = 1000},
-                        {.flow = flow, .intendedService = m_gate.options.service, .queuedAt = m_now}));
+            EXPECT_TRUE(addOpening(m_gate.schedule, {.maxOpenings = 1000}, {},
+                                   {.flow = flow,
+                                    .isOpening = true,
+                                    .intendedService = m_gate.options.service,
+                                    .queuedAt = m_now},
+                                   m_now)
+                            .accepted);
             return;
         }
         ASSERT_EQ(decision.action, GateAction::Deliver);
@@ -209,11 +214,11 @@
 
     void serveQueue()
     {
-        QueuedOpening opening;
-        const auto &options = m_gate.options.openingQueue;
-        while (!isBusy(m_gate, m_now) && takeNext(m_gate.openingQueue, options, m_now, opening)) {
-            EXPECT_EQ(admitQueued(m_gate, opening, m_now).action, GateAction::Deliver);
-            deliver(opening.flow);
+        NextWork opening;
+        const auto &options = m_gate.options.schedule;
+        while (!isBusy(m_gate, m_now) && takeNext(m_gate.schedule, options, {}, m_now, opening)) {
+            EXPECT_EQ(admitQueued(m_gate, opening.work, m_now).action, GateAction::Deliver);
+            deliver(opening.work.flow);
         }
     }
 
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -499,7 +499,8 @@
 TEST_F(ServerGateTest, AQueuedOpeningIsReturnedWhenItsServerLeaves)
 {
     makeReady();
-    const QueuedOpening opening{.flow = flowFromCaller(callerPacket(true)), .intendedService = service};
+    const WaitingWork opening{
+        .flow = flowFromCaller(callerPacket(true)), .isOpening = true, .intendedService = service};
     EXPECT_EQ(admitQueued(state, opening, now).action, GateAction::Deliver);
     auto heartbeat = makeHeartbeat(8);
     heartbeat.draining = true;
