Tests of held requests at the gate and over loopback; copies of openings state earlier waits

Cause: an opening packet that another agent had returned after a wait counted as new at the next agent. A flow whose first request had not come within 100 ms still counted as expected until the next packet, so that its request was not held. Priorities were forgotten after 10 s: the first urgent request after a pause waited 78 ms behind the server's full queue in the test's model.

Change: a copy of a waiting opening packet updates its wait. `mustHold` first ends expectations that are over. Priorities count for 60 s.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -66,9 +66,9 @@
     /// was not recognized.
     std::chrono::milliseconds maxRequestTime{10'000};
     ScheduleOptions schedule;
-    /// How long a priority that a flow has shown counts, see `isScheduling`. Longer than the pauses of flows
-    /// in use.
-    std::chrono::milliseconds priorityRetention{10'000};
+    /// How long a priority that a flow has shown counts, see `isScheduling`. Rare urgent requests arrive at a
+    /// server whose queue is full if it is shorter than the pauses between them.
+    std::chrono::milliseconds priorityRetention{60'000};
     /// A request that has been with the server for longer than this, and for `overdueWorkTimes` of the usual
     /// time, does not keep others from being started: its caller may be gone, or a packet of it lost.
     std::chrono::milliseconds overdueTime{400};
--- a/src/request-schedule.cc
+++ b/src/request-schedule.cc
@@ -252,11 +252,13 @@
 AddedOpening addOpening(RequestSchedule &schedule, const ScheduleOptions &options, const SchedulePace &pace,
                         WaitingWork work, TimePoint now)
 {
-    const bool isQueued
-        = std::any_of(schedule.work.begin(), schedule.work.end(), [&](const WaitingWork &waiting) {
+    const auto queued
+        = std::find_if(schedule.work.begin(), schedule.work.end(), [&](const WaitingWork &waiting) {
               return waiting.isOpening && waiting.flow == work.flow;
           });
-    if (isQueued) {
+    if (queued != schedule.work.end()) {
+        // The first copy may have waited at other agents before.
+        queued->waitedBefore = std::max(queued->waitedBefore, work.waitedBefore - (now - queued->queuedAt));
         return {.accepted = true, .isCopy = true};
     }
     const auto wait = expectedWait(workAhead(schedule, options, pace, work, now), pace);
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -264,9 +264,12 @@
     if (flow.isRequestHeld) {
         return !segment.rst && (segment.payloadSize > 0 || segment.fin);
     }
-    const bool startsRequest
-        = segment.payloadSize > 0 && !flow.ended && !flow.requestUnanswered && !flow.firstRequestExpected;
-    return startsRequest && !segment.rst && flow.terms != RouteTerms{} && isScheduling(state, now)
+    if (segment.payloadSize == 0 || segment.rst || flow.ended || flow.requestUnanswered) {
+        return false;
+    }
+    // Updates `firstRequestExpected`.
+    pendingRequests(state, now);
+    return !flow.firstRequestExpected && flow.terms != RouteTerms{} && isScheduling(state, now)
         && state.serverState == BackendState::Ready && !isFailing(state, now)
         && (isBusy(state, now) || hasLiveWork(state.schedule))
         && hasSpaceForRequest(state.schedule, state.options.schedule);
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -80,6 +80,14 @@
     std::set<FlowKey> flows;
     int requests = 0;
     bool isFull = false;
+    bool isMute = false; ///< Answers no payload.
+    std::vector<Segment> payloadPackets;
+
+    void answer(const FlowKey &flow)
+    {
+        reply(makePacket(flow.service, flow.caller, ackFlag, 501, 9, 40));
+        m_port.flush();
+    }
 
 private:
     void handlePacket(std::span<std::uint8_t> bytes)
@@ -87,6 +95,12 @@
         Segment segment;
         ASSERT_TRUE(format.parse(bytes, segment));
         const auto key = flowFromCaller(segment);
+        if (segment.payloadSize > 0) {
+            payloadPackets.push_back(segment);
+        }
+        if (isMute && segment.payloadSize > 0) {
+            return;
+        }
         if (segment.opens() && !isFull) {
             flows.insert(key);
             reply(makePacket(segment.destination, segment.source, synFlag | ackFlag, 500,
@@ -480,6 +494,63 @@
     EXPECT_EQ(received.back().destination.port, 4001);
 }
 
+// Guards against a held request that reaches its server with a packet missing, repeated, out of order or with
+// the mark of another balancer.
+TEST_F(GatePathTest, AHeldRequestReachesTheServerInOrderOnceAnotherIsAnswered)
+{
+    auto &host = *hosts[0];
+    PacketPort peer(context);
+    handleError(
+        [&]() -> Result<void> { return peer.open(endpoint("127.0.0.8", linkPort), [](auto, auto &) {}); },
+        [](const Error &error) { ADD_FAILURE() << error.text; });
+    const auto relay = [&](std::uint16_t port, std::uint8_t priority, std::uint8_t flags,
+                           std::uint32_t sequence, std::size_t payload) {
+        const auto packet = makePacket(endpoint("127.0.0.9", port), service, flags, sequence,
+                                       flags == synFlag ? 0 : 501, payload);
+        std::vector<std::uint8_t> message(peerHeaderSize);
+        encodePeerHeader(message,
+                         {.terms = RouteTerms{.priority = priority, .latencyGoal = milliseconds(200)},
+                          .number = idOf<ServiceId>(serviceName).value});
+        message.insert(message.end(), packet.begin(), packet.end());
+        peer.send(message, host.relayEndpoint);
+        peer.flush();
+    };
+    for (std::uint16_t port = 4001; port <= 4005; ++port) {
+        relay(port, port == 4005 ? 1 : 2, synFlag, 9, 0);
+        EXPECT_TRUE(nextAnswer().syn);
+        relay(port, port == 4005 ? 1 : 2, ackFlag, 9, 60);
+        EXPECT_EQ(nextAnswer().payloadSize, 40U);
+    }
+    host.server->isMute = true;
+    host.server->payloadPackets.clear();
+    for (std::uint16_t port = 4001; port <= 4003; ++port) {
+        relay(port, 2, ackFlag, 69, 60);
+    }
+    for (const std::uint32_t sequence : {69, 1269, 69, 2469}) {
+        relay(4004, 2, ackFlag, sequence, 1200);
+    }
+    const auto &delivered = host.server->payloadPackets;
+    runUntil(context,
+             [&] { return host.agent->state().schedule.requestBytes > 3 * 1200 && delivered.size() >= 3; });
+    EXPECT_EQ(delivered.size(), 3U);
+    host.server->answer({.caller = endpoint("127.0.0.9", 4001), .service = service});
+    runUntil(context, [&] { return delivered.size() >= 6; });
+    ASSERT_EQ(delivered.size(), 6U);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        EXPECT_EQ(delivered[3 + i].source.port, 4004);
+        EXPECT_EQ(delivered[3 + i].sequence, 69 + 1200 * i);
+        EXPECT_EQ(delivered[3 + i].mark, ipv4Number(endpoint("127.0.0.8", 1).address));
+    }
+    const auto explanation = explainFlow(4004);
+    EXPECT_NE(explanation.cause.find("a request waited at"), std::string::npos) << explanation.cause;
+
+    relay(4004, 2, ackFlag, 9999, 60);
+    relay(4005, 1, ackFlag, 69, 60);
+    runUntil(context, [&] { return host.agent->state().schedule.requests == 1; });
+    host.sendHeartbeat(1, 2000);
+    EXPECT_EQ(host.agent->state().schedule.requests, 0U) << "its flow has ended with the server";
+}
+
 TEST_F(GatePathTest, TheLogsExplainARefusedFlow)
 {
     hosts[0]->server->isFull = true;
--- a/test/request-schedule-test.cc
+++ b/test/request-schedule-test.cc
@@ -141,6 +141,8 @@
     }
 
     std::map<const Kind *, Result> results;
+    std::map<int, Duration> longestWaits; ///< At the agent, by priority.
+    bool isResetting = false; ///< The server resets flows instead of answering.
     TimePoint now{std::chrono::hours(1)};
 
 private:
@@ -217,6 +219,8 @@
         NextWork next;
         while (!isBusy(m_gate, now)
                && takeNext(m_gate.schedule, options, currentPace(m_gate, now), now, next)) {
+            auto &longestWait = longestWaits[next.work.terms.priority];
+            longestWait = std::max(longestWait, now - next.work.queuedAt);
             Segment segment{.source = next.work.flow.caller,
                             .destination = next.work.flow.service,
                             .syn = next.work.isOpening,
@@ -245,7 +249,7 @@
         if (segment.payloadSize == 0 || std::exchange(request.isAtServer, true)) {
             return;
         }
-        if (m_running + m_serverQueue.size() >= slotCount + serverQueueLength) {
+        if (isResetting || m_running + m_serverQueue.size() >= slotCount + serverQueueLength) {
             ++results[request.kind].refused;
             request.isDone = true;
             answer(request, false, true);
@@ -389,6 +393,39 @@
     EXPECT_GE(share(world, checkIn), 0.98);
 }
 
+// Guards against urgent work that waits for more than one request of lower priority.
+TEST(RequestScheduleLoadTest, UrgentWorkWaitsForOneRequestAtMost)
+{
+    auto rare = checkIn;
+    rare.perSecond = 1;
+    World world(true, 1);
+    world.begin(rare);
+    world.begin(feed);
+    world.run(milliseconds(100)); // Until the flows have shown two priorities.
+    world.addLoad(rare, 1, milliseconds(9000));
+    world.addLoad(feed, 5, milliseconds(9000));
+    world.run(milliseconds(10'000));
+    EXPECT_GT(world.longestWaits[feed.terms.priority], milliseconds(200));
+    EXPECT_LE(world.longestWaits[rare.terms.priority], feed.work * 13 / 10);
+}
+
+// Guards against work that stays behind after a server has failed.
+TEST(RequestScheduleLoadTest, AServerThatResetsForASecondIsUsedAgain)
+{
+    World world(true, 1);
+    world.addLoad(checkIn, 1.5, milliseconds(6000));
+    world.addLoad(feed, 1.5, milliseconds(6000));
+    world.run(milliseconds(1000));
+    world.isResetting = true;
+    world.run(milliseconds(1000));
+    EXPECT_GT(world.results[&feed].refused, 0);
+    world.isResetting = false;
+    world.results.clear();
+    world.run(milliseconds(6000));
+    EXPECT_GE(world.results[&feed].inTime, 4 * 28 * 1.5 * 0.9);
+    EXPECT_EQ(world.results[&feed].refused, 0);
+}
+
 // Guards against permanent starvation by a flood of urgent work, and against a flood that takes more than
 // seven starts in eight.
 TEST(RequestScheduleLoadTest, AFloodOfUrgentWorkLeavesOneStartInEight)
@@ -535,6 +572,15 @@
     EXPECT_LT(refusal.remaining, refusal.expectedWait);
 }
 
+TEST_F(RequestScheduleTest, ACopyTellsHowLongAnOpeningHasWaitedElsewhere)
+{
+    addOpening(1, checkIn.terms);
+    now += milliseconds(100);
+    addOpening(1, checkIn.terms, waitBeforeCopy(2));
+    ASSERT_EQ(schedule.work.size(), 1U);
+    EXPECT_EQ(schedule.work.front().waitedBefore, milliseconds(500));
+}
+
 TEST_F(RequestScheduleTest, AFullQueueKeepsTheMostUrgentOpenings)
 {
     options.maxOpenings = 2;
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -89,6 +89,26 @@
         recordServerPacket(state, accepted, now);
     }
 
+    GateAction admitWithTerms(std::uint16_t port, std::uint8_t priority, bool opens = false)
+    {
+        const RouteTerms terms{
+            .priority = priority, .timeLimit = milliseconds(1131), .latencyGoal = milliseconds(200)};
+        return admit(state, callerPacket(opens, port), service, now, false, terms).action;
+    }
+
+    // Opens flows of priority 2 on ports from 1 on, and one of priority 1; none has a request.
+    void openFlowsOfTwoPriorities(std::uint16_t count)
+    {
+        makeReady();
+        for (std::uint16_t port = 1; port <= count; ++port) {
+            admitWithTerms(port, 2, true);
+            acceptOpening(port);
+        }
+        admitWithTerms(1000, 1, true);
+        acceptOpening(1000);
+        now += state.options.firstRequestTimeout;
+    }
+
     GateState state;
     TimePoint now{std::chrono::hours(1)};
     const ServiceId service = idOf<ServiceId>(serviceName);
@@ -558,6 +578,106 @@
     EXPECT_FALSE(isFailing(state, now));
 }
 
+// Guards against a change for services whose routes state no terms, or the same ones.
+TEST_F(ServerGateTest, RequestsPassWhereFlowsShowOnePriority)
+{
+    makeReady();
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        EXPECT_EQ(admitWithTerms(port, 2, true), GateAction::Deliver);
+        acceptOpening(port);
+    }
+    now += state.options.firstRequestTimeout;
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        EXPECT_EQ(admitWithTerms(port, 2), GateAction::Deliver);
+    }
+}
+
+TEST_F(ServerGateTest, RequestsBeyondTheLimitWaitWhereFlowsShowTwoPriorities)
+{
+    openFlowsOfTwoPriorities(4);
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        EXPECT_EQ(admitWithTerms(port, 2), GateAction::Deliver) << "two slots and one request";
+    }
+    EXPECT_EQ(admitWithTerms(3, 2), GateAction::Deliver) << "a further packet of a request under way";
+    EXPECT_EQ(admitWithTerms(4, 2), GateAction::Hold);
+    auto acknowledgement = callerPacket(false, 4);
+    acknowledgement.payloadSize = 0;
+    EXPECT_EQ(admit(state, acknowledgement, service, now).action, GateAction::Deliver);
+    acknowledgement.fin = true;
+    EXPECT_EQ(admit(state, acknowledgement, service, now).action, GateAction::Hold)
+        << "a close must not overtake the request";
+    EXPECT_EQ(admitData(99).action, GateAction::Deliver) << "an unknown flow";
+    EXPECT_EQ(admitWithTerms(1001, 1, true), GateAction::Queue);
+    now += state.options.priorityRetention;
+    EXPECT_FALSE(isScheduling(state, now));
+}
+
+TEST_F(ServerGateTest, TheFirstRequestOfAnAdmittedFlowPasses)
+{
+    openFlowsOfTwoPriorities(4);
+    EXPECT_EQ(admitWithTerms(1001, 1, true), GateAction::Deliver);
+    acceptOpening(1001);
+    admitWithTerms(1, 2);
+    admitWithTerms(2, 2);
+    EXPECT_EQ(admitWithTerms(3, 2), GateAction::Hold);
+    EXPECT_EQ(admitWithTerms(1001, 1), GateAction::Deliver) << "it was counted when the flow was opened";
+}
+
+TEST_F(ServerGateTest, RequestsOfADrainingServerPass)
+{
+    openFlowsOfTwoPriorities(6);
+    auto heartbeat = makeHeartbeat(8);
+    heartbeat.draining = true;
+    apply(heartbeat);
+    for (std::uint16_t port = 1; port <= 6; ++port) {
+        EXPECT_EQ(admitWithTerms(port, 2), GateAction::Deliver);
+    }
+}
+
+// Guards against work that waits for requests whose callers are gone.
+TEST_F(ServerGateTest, RequestsWithoutAnAnswerForLongDoNotKeepTheServerBusy)
+{
+    openFlowsOfTwoPriorities(4);
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        admitWithTerms(port, 2);
+    }
+    EXPECT_TRUE(isBusy(state, now));
+    now += state.options.overdueTime + milliseconds(1);
+    markOverdueRequests(state, now);
+    EXPECT_FALSE(isBusy(state, now));
+    recordServerPacket(state, serverPacket(1), now);
+    EXPECT_EQ(state.overdueRequests, 2U);
+}
+
+TEST_F(ServerGateTest, ThePaceIsThatOfASlotAndExpires)
+{
+    openFlowsOfTwoPriorities(4);
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        admitWithTerms(port, 2);
+    }
+    now += milliseconds(30);
+    recordServerPacket(state, serverPacket(3), now);
+    EXPECT_EQ(currentPace(state, now).usualWork, milliseconds(20)) << "it waited for one of two slots";
+    EXPECT_DOUBLE_EQ(currentPace(state, now).answersPerSecond, 100);
+    now += state.options.paceRetention + milliseconds(1);
+    EXPECT_EQ(currentPace(state, now).usualWork, Duration::zero());
+}
+
+TEST_F(ServerGateTest, ReportsStateWhatWaits)
+{
+    openFlowsOfTwoPriorities(4);
+    const auto packet = callerPacket(false, 4);
+    holdPacket(state.schedule, state.options.schedule, flowFromCaller(packet), {}, packet, {}, {}, now);
+    now += milliseconds(25);
+    const auto report = makeReport(state, 1, now, false);
+    EXPECT_EQ(report.waiting, 1U);
+    ASSERT_TRUE(report.capacity);
+    EXPECT_EQ(report.capacity->queuedRequests, 1);
+    EXPECT_EQ(report.capacity->queuedOpenings, 0);
+    EXPECT_EQ(report.capacity->longestWait, milliseconds(25));
+    EXPECT_EQ(report.capacity->openings, 5U);
+}
+
 TEST_F(ServerGateTest, ResetsBetweenAnswersEjectNobody)
 {
     makeReady();
