--- a/include/oriolelever/route-terms.h
+++ b/include/oriolelever/route-terms.h
@@ -25,6 +25,10 @@
 /// Returns the largest time of at most `time` that four bits can state, see `encodeTime`.
 std::chrono::milliseconds roundToEncodable(std::chrono::milliseconds time);
 
+/// Returns the terms for work that has waited: what is left of the stated times, but the shortest time that
+/// can be stated where nothing is.
+RouteTerms remainingTerms(const RouteTerms &terms, std::chrono::nanoseconds waited);
+
 /// Encodes a time in four bits: 0 for none or less than 50 ms, otherwise one of 15 steps from 50 ms to 6.4 s,
 /// two to each doubling, rounded down.
 std::uint8_t encodeTime(std::chrono::milliseconds time);
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -121,9 +121,10 @@
     /// Resets the callers of flows on `host` that belong to an earlier start of its server.
     void resetEndedFlows(const IpAddress &host, std::uint64_t bornAt, TimePoint now);
     void sendNotes(const FlowKey &flow, const IpAddress &holder);
-    /// Sends, resets or drops the packet; `bytes` has `peerHeaderSize` free bytes before it.
+    /// Sends, resets or drops the packet; `bytes` has `peerHeaderSize` free bytes before it. `deferredFor` is
+    /// how long an opening packet has waited here.
     void applyDecision(const SteeringDecision &decision, const Segment &segment,
-                       std::span<std::uint8_t> bytes);
+                       std::span<std::uint8_t> bytes, Duration deferredFor = {});
     void logDecision(const SteeringDecision &decision, const Segment &segment);
     /// Keeps an opening packet that cannot be placed yet; returns false if it is to be dropped.
     bool deferOpening(const SteeringDecision &decision, const Segment &segment,
--- a/src/route-terms.cc
+++ b/src/route-terms.cc
@@ -30,6 +30,18 @@
     return encodableTimes[code & codeMask];
 }
 
+RouteTerms remainingTerms(const RouteTerms &terms, std::chrono::nanoseconds waited)
+{
+    const auto remaining = [&](milliseconds time) {
+        const auto left = time - std::chrono::duration_cast<milliseconds>(waited);
+        return time == milliseconds::zero() ? time : std::max(left, encodableTimes[1]);
+    };
+    auto result = terms;
+    result.timeLimit = remaining(terms.timeLimit);
+    result.latencyGoal = remaining(terms.latencyGoal);
+    return result;
+}
+
 milliseconds roundToEncodable(milliseconds time)
 {
     return decodeTime(encodeTime(time));
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -265,7 +265,7 @@
             remaining.push_back(opening);
             continue;
         }
-        applyDecision(decision, segment, opening.packet());
+        applyDecision(decision, segment, opening.packet(), m_now - opening.firstAt);
     }
     // Those that were not tried come first in the next attempt.
     std::rotate(remaining.begin(), remaining.begin() + failedAttempts, remaining.end());
@@ -273,7 +273,7 @@
 }
 
 void SteeringNode::applyDecision(const SteeringDecision &decision, const Segment &segment,
-                                 std::span<std::uint8_t> bytes)
+                                 std::span<std::uint8_t> bytes, Duration deferredFor)
 {
     m_counters->packetsByCause[static_cast<std::size_t>(decision.cause)]->Increment();
     if (decision.cause != SteeringCause::Known) {
@@ -295,7 +295,7 @@
         .type = type, .mayReturnBusy = decision.mayReturnBusy, .number = decision.service.value};
     const auto route = m_state.table.routes.find(segment.destination);
     if (route != m_state.table.routes.end() && route->second.terms != RouteTerms{}) {
-        header.terms = route->second.terms;
+        header.terms = remainingTerms(route->second.terms, deferredFor);
     }
     encodePeerHeader(message, header);
     m_agentSocket.send(message, {m_state.backends[decision.backend].host, m_options.agentPort});
--- a/test/route-terms-test.cc
+++ b/test/route-terms-test.cc
@@ -28,6 +28,18 @@
     EXPECT_EQ(roundToEncodable(std::chrono::hours(1)), milliseconds(6400));
 }
 
+// Guards against an opening packet that has waited at a balancer being served as if it were new.
+TEST(RouteTermsTest, WaitingUsesUpTheStatedTimes)
+{
+    const RouteTerms terms{.priority = 1, .timeLimit = milliseconds(1500), .latencyGoal = milliseconds(250)};
+    const auto waited = remainingTerms(terms, milliseconds(100));
+    EXPECT_EQ(waited.timeLimit, milliseconds(1400));
+    EXPECT_EQ(waited.latencyGoal, milliseconds(150));
+    EXPECT_EQ(waited.priority, 1);
+    EXPECT_EQ(remainingTerms(terms, milliseconds(400)).latencyGoal, milliseconds(50)) << "not unstated";
+    EXPECT_EQ(remainingTerms(RouteTerms{}, milliseconds(400)), RouteTerms{});
+}
+
 TEST(RouteTermsTest, EachCodeIsItsOwnTime)
 {
     for (std::uint8_t code = 0; code < 16; ++code) {
