Cause of a refused opening packet; reopened flows drop their held request with a log line

Cause: an opening packet that left for a more urgent one was logged and explained as one that could not be served in time. The held request of a flow that its caller opened again was dropped without a line or a metric.

Change: opening_refused has a cause (too_late, queue_full), explain reads it; request_dropped has the cause caller_reopened.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -98,7 +98,7 @@
     void serveQueue(TimePoint now);
     /// Delivers the packets of a held request in order. `cause` is logged.
     void releaseRequest(WaitingWork &request, std::string_view cause, TimePoint now);
-    /// Drops the held request of a flow that one of its ends has reset: the server would only return it.
+    /// Drops the held request of a flow that has ended.
     void dropRequestOf(const FlowKey &flow, std::string_view cause);
     void recordDroppedRequests(std::span<const WaitingWork> requests, std::string_view cause, TimePoint now);
     void refuseOpening(OpeningRefusal &refusal, TimePoint now);
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -164,11 +164,13 @@
                 event.node, fieldText(event.fields, "waiting"), fieldText(event.fields, "queued"));
         } else if (event.event == "opening_refused" && !ended) {
             explanation.outcome = formatCode(Code::RefusedNotRun);
-            explanation.cause = fmt::format(
-                "{} returned the opening packet: the wait of {} ms that it expected at its server exceeded "
-                "the {} ms that the caller had left",
-                event.node, fieldText(event.fields, "expected_wait_ms"),
-                fieldText(event.fields, "remaining_ms"));
+            explanation.cause = fieldText(event.fields, "cause") == "queue_full"
+                ? fmt::format("{} returned the opening packet: {} others waited before it", event.node,
+                              fieldText(event.fields, "queued"))
+                : fmt::format("{} returned the opening packet: the wait of {} ms that it expected at its "
+                              "server exceeded the {} ms that the caller had left",
+                              event.node, fieldText(event.fields, "expected_wait_ms"),
+                              fieldText(event.fields, "remaining_ms"));
         } else if (event.event == "request_held" && !ended) {
             explanation.outcome = formatCode(Code::OutcomeUnknown);
             explanation.cause
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -251,8 +251,9 @@
         return;
     }
     const ServiceId intendedService{header.number};
-    if (segment.rst) {
-        dropRequestOf(flowFromCaller(segment), "caller_reset");
+    // A caller that opens the flow again has given up what it had sent on it.
+    if (segment.rst || segment.opens()) {
+        dropRequestOf(flowFromCaller(segment), segment.rst ? "caller_reset" : "caller_reopened");
     }
     const auto decision = admit(m_state, segment, intendedService, m_now, header.mayReturnBusy,
                                 header.terms.value_or(RouteTerms{}));
@@ -438,9 +439,11 @@
 {
     auto &opening = refusal.work;
     m_counters->count(WorkOutcome::RefusedOpening, opening);
-    m_log.write(now, "opening_refused", "flow", flowText(opening.flow.caller, opening.flow.service),
-                "expected_wait_ms", refusal.expectedWait, "remaining_ms", refusal.remaining, "waited_ms",
-                now - opening.queuedAt + opening.waitedBefore, "priority", opening.terms.priority, "queued",
+    const bool isTooLate = refusal.remaining < refusal.expectedWait || refusal.remaining <= Duration::zero();
+    m_log.write(now, "opening_refused", "flow", flowText(opening.flow.caller, opening.flow.service), "cause",
+                isTooLate ? "too_late" : "queue_full", "expected_wait_ms", refusal.expectedWait,
+                "remaining_ms", refusal.remaining, "waited_ms", now - opening.queuedAt + opening.waitedBefore,
+                "priority", opening.terms.priority, "queued",
                 m_state.schedule.work.size() - m_state.schedule.requests, "held", m_state.schedule.requests,
                 "pace", currentPace(m_state, now).answersPerSecond);
     returnOpening(opening, ReturnReason::Full, now);
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -201,10 +201,6 @@
         return returnDecision(*reason);
     }
     const auto key = flowFromCaller(segment);
-    // A caller that opens the flow again has given up what it had sent on it.
-    if (WaitingWork dropped; dropHeldRequest(state, key, dropped)) {
-        return deliverOpening(state, key, terms, now);
-    }
     if (isOpening(state, key)) {
         return deliverOpening(state, key, terms, now);
     }
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -57,6 +57,18 @@
               "front-2 refused the flow: no server of the service accepted it (configuration 9)");
 }
 
+TEST(ExplainTest, AnOpeningThatCouldNotBeServedIsTracedToTheWait)
+{
+    const auto explanation = explain(
+        read(
+            R"({"at":5,"node":"side-2","event":"opening_refused","flow":"100.64.0.9:7>198.18.0.2:80","expected_wait_ms":910.0,"remaining_ms":800.0})"),
+        {.flow = "100.64.0.9:7"});
+    EXPECT_EQ(explanation.outcome, "401 refused-not-run");
+    EXPECT_EQ(explanation.cause,
+              "side-2 returned the opening packet: the wait of 910.0 ms that it expected at its server "
+              "exceeded the 800.0 ms that the caller had left");
+}
+
 TEST(ExplainTest, AnUndecidedSearchIsTracedToUnreachableAgents)
 {
     const auto explanation = explain(
