--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -273,7 +273,7 @@
 
 // Learns the usual work from an answer. A request that starts while others use all slots waits for one of
 // them within the server.
-void recordAnswer(GateState &state, const HeldFlow &flow, Duration answer, TimePoint now)
+void learnUsualWork(GateState &state, const HeldFlow &flow, Duration answer, TimePoint now)
 {
     constexpr int weight = 8; // Answers that the mean follows.
     constexpr int maxFactor = 4; // Bounds the effect of a single long request, and of a stall of the agent.
@@ -506,7 +506,7 @@
     if (segment.payloadSize > 0) {
         if (flow.requestUnanswered) {
             latencies.answer = now - flow.requestStartedAt;
-            recordAnswer(state, flow, *latencies.answer, now);
+            learnUsualWork(state, flow, *latencies.answer, now);
             state.consecutiveResets = 0;
             state.ejections = 0;
         }
