Under overload newer work is started first; requests of callers who are gone are dropped

Three causes: with the least time left first, an overloaded server answers everything at the end of its time or after it, and callers open new flows for each; held requests of callers who had given up without a word were run once the burst was over; an opened flow whose caller was gone took one of three places for 100 ms.

A held request goes when its time limit, with what rounding took off, is over: its caller retransmits if it still waits. An opened flow counts for three round trips, and one of them does not use up the limit of running requests.

--- a/include/oriolelever/request-schedule.h
+++ b/include/oriolelever/request-schedule.h
@@ -148,6 +148,10 @@
 /// Removes the held request of a flow; returns false if there is none.
 bool takeRequest(RequestSchedule &schedule, const FlowKey &flow, WaitingWork &out);
 
+/// Removes a held request whose caller has given up by its time limit, however that was rounded; returns
+/// false if there is none. A caller that waits longer retransmits.
+bool takeLostRequest(RequestSchedule &schedule, TimePoint now, WaitingWork &out);
+
 /// Removes all held requests, whose flows have ended; returns them.
 std::vector<WaitingWork> takeAllRequests(RequestSchedule &schedule);
 
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -213,6 +213,9 @@
 
 /// Removes the held request of a flow that has ended; returns false if there is none.
 bool dropHeldRequest(GateState &state, const FlowKey &flow, WaitingWork &out);
+/// Drops a held request whose caller must have given up, see `takeLostRequest`; returns false if there is
+/// none.
+bool dropLostRequest(GateState &state, TimePoint now, WaitingWork &out);
 
 /// What waits for the server, as reports state it.
 ServerCapacity waitingWork(const GateState &state, TimePoint now);
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -371,6 +371,10 @@
         while (takeExpired(schedule, options, currentPace(m_state, now), now, refusal)) {
             refuseOpening(refusal, now);
         }
+        WaitingWork lost;
+        while (dropLostRequest(m_state, now, lost)) {
+            recordDroppedRequests({&lost, 1}, "time_limit", now);
+        }
     }
     NextWork next;
     while (!isBusy(m_state, now) && takeNext(schedule, options, currentPace(m_state, now), now, next)) {
--- a/src/request-schedule.cc
+++ b/src/request-schedule.cc
@@ -32,9 +32,9 @@
     bool isLost = false;
     std::uint8_t priority = lowestPriority;
     Outlook outlook = Outlook::InTime;
-    std::int64_t remaining = 0; ///< In `tieWidth`.
+    std::int64_t remaining = 0; ///< In `tieWidth`; negated while newer work goes first.
     int callerStarts = 0; ///< Of the caller's address, as a power of two.
-    TimePoint queuedAt{};
+    std::int64_t age = 0; ///< Negated wait in nanoseconds; the wait while newer work goes first.
 
     auto operator<=>(const Rank &) const = default;
 };
@@ -84,10 +84,23 @@
     return slack;
 }
 
+// Whether the work that waits is more than the server can answer in time, so that newer work goes first: its
+// callers can still be served well, while the work with the least time left would be answered late, or after
+// its caller has given up, and make the next late as well.
+bool isNewestFirst(const RequestSchedule &schedule, const ScheduleOptions &options, const SchedulePace &pace,
+                   TimePoint now)
+{
+    return std::any_of(schedule.work.begin(), schedule.work.end(), [&](const WaitingWork &work) {
+        return now - work.queuedAt >= options.overloadWait && !work.isAbandoned
+            && slackToLimit(work, options, pace, now) >= Duration::zero();
+    });
+}
+
 Rank rankOf(const RequestSchedule &schedule, const ScheduleOptions &options, const SchedulePace &pace,
-            const WaitingWork &work, TimePoint now)
+            const WaitingWork &work, TimePoint now, bool newestFirst)
 {
-    Rank rank{.priority = work.terms.priority, .queuedAt = work.queuedAt};
+    const auto wait = (now - work.queuedAt).count();
+    Rank rank{.priority = work.terms.priority, .age = newestFirst ? wait : -wait};
     const auto toLimit = slackToLimit(work, options, pace, now);
     const bool hasGoal = work.terms.latencyGoal > milliseconds::zero();
     const auto toGoal = hasGoal ? slackToGoal(work, options, pace, now) : toLimit;
@@ -100,7 +113,7 @@
         rank.outlook = Outlook::Late;
         remaining = toLimit;
     }
-    rank.remaining = remaining / Duration(tieWidth);
+    rank.remaining = (newestFirst ? -remaining : remaining) / Duration(tieWidth);
     const auto starts = schedule.callerStarts.find(work.flow.caller.address);
     // Only the order of magnitude counts, so that the order among ordinary callers is that of arrival.
     rank.callerStarts = starts == schedule.callerStarts.end() ? 0 : std::bit_width(starts->second);
@@ -185,10 +198,11 @@
 std::vector<Rank> ranksOf(const RequestSchedule &schedule, const ScheduleOptions &options,
                           const SchedulePace &pace, TimePoint now)
 {
+    const bool newestFirst = isNewestFirst(schedule, options, pace, now);
     std::vector<Rank> ranks;
     ranks.reserve(schedule.work.size());
     for (const auto &work : schedule.work) {
-        ranks.push_back(rankOf(schedule, options, pace, work, now));
+        ranks.push_back(rankOf(schedule, options, pace, work, now, newestFirst));
     }
     return ranks;
 }
@@ -242,10 +256,11 @@
     if (work.isOpening && work.terms == schedule.work.front().terms && isUniform(schedule)) {
         return isOverloaded(schedule, options, pace, now) ? 0 : schedule.work.size();
     }
-    const auto rank = rankOf(schedule, options, pace, work, now);
+    const bool newestFirst = isNewestFirst(schedule, options, pace, now);
+    const auto rank = rankOf(schedule, options, pace, work, now, newestFirst);
     return static_cast<std::size_t>(
         std::count_if(schedule.work.begin(), schedule.work.end(), [&](const WaitingWork &other) {
-            return rankOf(schedule, options, pace, other, now) <= rank;
+            return rankOf(schedule, options, pace, other, now, newestFirst) <= rank;
         }));
 }
 
@@ -275,9 +290,10 @@
     // The last opening packet in the order leaves, which may be the new one.
     std::optional<std::size_t> last;
     if (hasTerms && !(isUniform(schedule) && work.terms == schedule.work.front().terms)) {
-        auto lastRank = rankOf(schedule, options, pace, work, now);
+        const bool newestFirst = isNewestFirst(schedule, options, pace, now);
+        auto lastRank = rankOf(schedule, options, pace, work, now, newestFirst);
         for (std::size_t i = 0; i < schedule.work.size(); ++i) {
-            const auto rank = rankOf(schedule, options, pace, schedule.work[i], now);
+            const auto rank = rankOf(schedule, options, pace, schedule.work[i], now, newestFirst);
             if (schedule.work[i].isOpening && lastRank < rank) {
                 last = i;
                 lastRank = rank;
@@ -350,6 +366,20 @@
     return true;
 }
 
+bool takeLostRequest(RequestSchedule &schedule, TimePoint now, WaitingWork &out)
+{
+    const auto found = std::find_if(schedule.work.begin(), schedule.work.end(), [&](const WaitingWork &work) {
+        // Times in a packet's terms are rounded down by at most the square root of 2.
+        return !work.isOpening && work.terms.timeLimit > milliseconds::zero()
+            && now - work.queuedAt > work.terms.timeLimit * 3 / 2;
+    });
+    if (found == schedule.work.end()) {
+        return false;
+    }
+    out = take(schedule, static_cast<std::size_t>(found - schedule.work.begin()));
+    return true;
+}
+
 std::vector<WaitingWork> takeAllRequests(RequestSchedule &schedule)
 {
     std::vector<WaitingWork> requests;
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -58,6 +58,11 @@
     return segment.acknowledgement - flow.serverInitialSequence <= sequenceWindow;
 }
 
+// Round trips from an opening packet's delivery after which the first request is no longer expected.
+constexpr int maxRoundTripsToRequest = 3;
+// Opened flows beyond the limit of running requests, so that a slot does not stay free for a round trip.
+constexpr std::uint32_t expectedBeyondLimit = 1;
+
 // Requests with which a server is busy whose flows show a single priority, or none.
 std::uint32_t busyRequests(const GateState &state)
 {
@@ -350,13 +355,15 @@
     if (!isScheduling(state, now)) {
         return pending >= busyRequests(state);
     }
-    // The first request of an opened flow is a round trip away. Of those, as many as the server answers in
-    // that time do not use a slot.
-    const auto pace = currentPace(state, now);
-    const auto roundTrip = std::chrono::duration<double>(state.options.schedule.roundTrip).count();
-    const auto distant = static_cast<std::uint32_t>(pace.answersPerSecond * roundTrip);
-    const auto ignored = state.overdueRequests + std::min(state.expectedRequests, distant);
-    return pending >= concurrencyLimit(state) + 1 + ignored;
+    // An opened flow takes a place for a few round trips only: under load many callers have given up by the
+    // time their opening packet is delivered.
+    const auto expectedSince = now - Duration(state.options.schedule.roundTrip) * maxRoundTripsToRequest;
+    const auto recent = std::count_if(state.openedFlows.rbegin(), state.openedFlows.rend(),
+                                      [&](const auto &opened) { return opened.first >= expectedSince; });
+    const auto expected = std::min(state.expectedRequests, static_cast<std::uint32_t>(recent));
+    const auto running = state.waitingFlows - std::min(state.waitingFlows, state.overdueRequests);
+    const auto limit = concurrencyLimit(state) + 1;
+    return running >= limit || running + expected >= limit + expectedBeyondLimit;
 }
 
 void markOverdueRequests(GateState &state, TimePoint now)
@@ -455,6 +462,18 @@
     return takeRequest(state.schedule, flow, out);
 }
 
+bool dropLostRequest(GateState &state, TimePoint now, WaitingWork &out)
+{
+    if (!takeLostRequest(state.schedule, now, out)) {
+        return false;
+    }
+    const auto found = state.flows.find(out.flow);
+    if (found != state.flows.end()) {
+        found->second.isRequestHeld = false;
+    }
+    return true;
+}
+
 ServerCapacity waitingWork(const GateState &state, TimePoint now)
 {
     const auto &schedule = state.schedule;
--- a/test/request-schedule-test.cc
+++ b/test/request-schedule-test.cc
@@ -502,6 +502,23 @@
 };
 
 TEST_F(RequestScheduleTest, PriorityThenReachableGoalThenRemainingTime)
+{
+    auto shorter = feed.terms;
+    shorter.latencyGoal = milliseconds(100);
+    hold(1, shorter);
+    now += milliseconds(70); // The first request cannot be answered within 100 ms any more.
+    hold(2, feed.terms);
+    auto longer = feed.terms;
+    longer.latencyGoal = milliseconds(400);
+    hold(3, longer);
+    addOpening(4, checkIn.terms);
+    for (const std::uint16_t port : {4, 2, 3, 1, 0}) {
+        EXPECT_EQ(next(), port);
+    }
+}
+
+// Guards against an overload in which all work is started with the least time left, and so answered late.
+TEST_F(RequestScheduleTest, UnderOverloadWorkWithTheMostTimeLeftIsStartedFirst)
 {
     hold(1, feed.terms);
     now += milliseconds(180); // The first request cannot be answered within 200 ms any more.
@@ -510,11 +527,27 @@
     longer.latencyGoal = milliseconds(400);
     hold(3, longer);
     addOpening(4, checkIn.terms);
-    for (const std::uint16_t port : {4, 2, 3, 1, 0}) {
+    for (const std::uint16_t port : {4, 3, 2, 1, 0}) {
         EXPECT_EQ(next(), port);
     }
 }
 
+// Guards against servers that work for callers who are gone, after a burst: a caller that gives up on an open
+// flow may send nothing that says so.
+TEST_F(RequestScheduleTest, ARequestIsRemovedOnceItsCallerMustHaveGivenUp)
+{
+    hold(1, feed.terms);
+    WaitingWork lost;
+    now += feed.terms.timeLimit * 3 / 2;
+    EXPECT_FALSE(takeLostRequest(schedule, now, lost)) << "stated limits are rounded down";
+    now += milliseconds(1);
+    hold(2, feed.terms);
+    ASSERT_TRUE(takeLostRequest(schedule, now, lost));
+    EXPECT_EQ(lost.flow, flowOf(1));
+    EXPECT_FALSE(takeLostRequest(schedule, now, lost));
+    EXPECT_EQ(schedule.requests, 1U);
+}
+
 TEST_F(RequestScheduleTest, OneStartInEightGoesToTheLongestWaitingOfLowerPriority)
 {
     hold(100, feed.terms);
