Agents learn the capacity of their servers, balancers weigh slots by it

Cause: load was divided by stated slots, so servers of different speed, or ones that slow down, got the same share of flows.

Change: an agent counts time and answers by the number of requests under way. Reports carry the estimate to balancers whose hello accepts it. `loadOf` divides by slots times the pace relative to the median of the service; the median is calculated at most once in a report period. The first hello to a restarted agent returns what its former start had learned.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -105,6 +105,8 @@
     /// Sends the list of the server's flows to the balancer that keeps the zone's flows: the one with the
     /// lowest address, of the own zone if there is one.
     void sendFlowList(TimePoint now);
+    /// Logs a change of the learned capacity, and sets its metrics.
+    void announceCapacity(TimePoint now);
     /// Reports at once if the server has begun or ceased to fail.
     void reportFailing(TimePoint now);
     void tick();
@@ -120,6 +122,7 @@
         TimePoint lastReportAt{}; ///< When a report was sent to it last.
         std::chrono::milliseconds reportPeriod{0}; ///< As its last Hello stated.
         ZoneId zone; ///< As its last Hello stated; unset before the first.
+        bool acceptsCapacity = false; ///< As its last Hello stated.
     };
 
     asio::io_context &m_context;
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -17,6 +17,7 @@
 #include "oriolelever/opening-queue.h"
 #include "oriolelever/peer-message.h"
 #include "oriolelever/segment.h"
+#include "oriolelever/server-capacity.h"
 
 namespace oriolelever {
 
@@ -85,6 +86,7 @@
     bool ended = false; ///< Closed by both ends, or by a reset.
     bool requestUnanswered = false; ///< Payload of the caller was delivered and has no answer yet.
     bool firstRequestExpected = false; ///< Counted in `GateState::expectedRequests`.
+    std::uint16_t requestsAtStart = 0; ///< Under way with this one when it started; saturates.
     std::uint32_t lastCallerAcknowledgement = 0; ///< Acknowledgement number of the caller's last packet.
     TimePoint lastPacketAt{}; ///< Last packet of either end.
     TimePoint openingDeliveredAt{}; ///< First opening packet; valid while `openingUnanswered`.
@@ -136,6 +138,7 @@
     /// Flows that ended with an earlier start of the server, and when.
     std::unordered_map<FlowKey, TimePoint> lostFlows;
     std::unordered_map<FlowKey, FlowNote> notes; ///< Flows of any agent's server.
+    CapacityEstimator capacity; ///< What the server handles well; see `learnedCapacity`.
 };
 
 /// What happens to a packet.
@@ -168,6 +171,13 @@
 /// has still to show by one request that it answers again.
 bool isFailing(GateState &state, TimePoint now);
 
+/// The capacity that the agent has learned of its server: pace, concurrency, evidence and usual time of an
+/// answer, all zero if nothing is known. The other fields are unused.
+const ServerCapacity &learnedCapacity(const GateState &state);
+
+/// Updates the learned capacity while no packets come; call it with each tick.
+void updateCapacity(GateState &state, TimePoint now);
+
 /// Decides about an opening packet from the queue: whether it is delivered, or returned since the server has
 /// changed meanwhile.
 GateDecision admitQueued(GateState &state, const QueuedOpening &opening, TimePoint now);
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -82,6 +82,7 @@
     /// Flows per slot above which a server gets no new flows while most servers of its service are still
     /// being discovered.
     double discoveryLoadLimit = 4.0;
+    PaceOptions pace; ///< Use of the capacity that agents have learned of their servers.
     double requestWeight = 2.0; ///< Load of a running request relative to an open flow.
     double coldWeight = 2.0; ///< Load of a flow on a cold server relative to a warm one.
 };
@@ -106,6 +107,11 @@
     TimePoint heldFlowFilterAt{}; ///< When `heldFlowFilter` came.
     std::chrono::milliseconds reportPeriod{200}; ///< As the agent was asked.
     TimePoint reportPeriodSetAt{}; ///< When `reportPeriod` changed last.
+    /// The server's pace per slot relative to the median of its service; 1 if they count as equal, or the
+    /// server's pace is unknown. Set with each report.
+    double relativePace = 1;
+    /// Of the agent's former start, until a hello has returned it to the agent.
+    std::optional<RememberedCapacity> rememberedCapacity;
     bool isEntryMissing = false; ///< The agent reports, but has no entry in the platform's store.
 };
 
@@ -210,6 +216,13 @@
     std::unordered_set<ZoneId> zones; ///< Of `SteeringState::evacuatedZones`, those that the store lacks.
 };
 
+/// Median pace per slot of a service's servers.
+struct ServicePace
+{
+    double median = 0; ///< 0 if no server's pace is known.
+    TimePoint calculatedAt{};
+};
+
 /// All that a balancer knows.
 struct SteeringState
 {
@@ -223,6 +236,8 @@
     std::vector<Backend> backends; ///< Never shrinks, so that a `BackendIndex` stays valid.
     std::unordered_map<IpAddress, BackendIndex, AddressHash> backendByHost;
     std::unordered_map<FlowKey, SteeredFlow> flows; ///< The cache.
+    /// By the reports, calculated at most once in a report period for each service.
+    std::unordered_map<ServiceId, ServicePace> servicePaces;
     /// Flows whose packets were dropped because their holder could not be determined.
     std::vector<FlowKey> unresolvedFlows;
     TimePoint lastSearchStartedAt{}; ///< When a search started last.
@@ -287,8 +302,15 @@
 /// Whether new flows of `service` may go to the server.
 bool acceptsFlows(const SteeringState &state, const Backend &backend, ServiceId service, TimePoint now);
 
-/// Returns the server's load in flows per slot: open flows by its report, new flows from this balancer since,
-/// and running requests, weighted by `requestWeight` and `coldWeight`.
+/// Returns the slots that the server is worth compared with the other servers of its service: the stated
+/// slots times `Backend::relativePace`.
+double effectiveSlots(const Backend &backend);
+
+/// Returns, once, the capacity that a restarted agent is to get back.
+std::optional<RememberedCapacity> takeRememberedCapacity(SteeringState &state, BackendIndex index);
+
+/// Returns the server's load in flows per effective slot: open flows by its report, new flows from this
+/// balancer since, and running requests, weighted by `requestWeight` and `coldWeight`.
 double loadOf(const SteeringOptions &options, const Backend &backend);
 
 /// Whether the servers of the service that recently started agents have still to discover outnumber those
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -45,6 +45,16 @@
                       .Help("Flows with a request that has no answer yet")
                       .Register(registry)
                       .Add({}))
+        , pace(prometheus::BuildGauge()
+                   .Name("oriolelever_server_pace")
+                   .Help("Answers a second that the backend server handles well; 0 if unknown")
+                   .Register(registry)
+                   .Add({}))
+        , concurrency(prometheus::BuildGauge()
+                          .Name("oriolelever_server_concurrency")
+                          .Help("Requests under way up to which the backend server answers well")
+                          .Register(registry)
+                          .Add({}))
         , opening(prometheus::BuildHistogram()
                       .Name("oriolelever_opening_seconds")
                       .Help("From an opening packet to the backend server's answer")
@@ -77,6 +87,8 @@
     prometheus::Counter &malformed;
     prometheus::Gauge &flows;
     prometheus::Gauge &waiting;
+    prometheus::Gauge &pace;
+    prometheus::Gauge &concurrency;
     prometheus::Histogram &opening;
     prometheus::Histogram &answer;
 };
@@ -342,6 +354,17 @@
     balancer.lastHelloAt = m_now;
     balancer.reportPeriod = hello.reportPeriod;
     balancer.zone = hello.zone;
+    balancer.acceptsCapacity = hello.acceptsCapacity;
+    if (hello.remembered) {
+        const auto outcome = restoreCapacity(m_state.capacity, *hello.remembered, m_now);
+        if (outcome != RestoreOutcome::Known) {
+            m_log.write(m_now, "capacity_remembered", "balancer", toString(from.address), "outcome",
+                        toString(outcome), "born_at", hello.remembered->bornAt, "pace",
+                        hello.remembered->capacity.answersPerSecond, "concurrency",
+                        hello.remembered->capacity.concurrency, "evidence",
+                        hello.remembered->capacity.evidence);
+        }
+    }
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
     mergeRevisions(m_state.documents, hello.documents);
@@ -352,7 +375,11 @@
     if (isNew || hello.wantsFlows) {
         balancer.lastReportAt = m_now;
         std::array<std::uint8_t, maxPeerMessageSize> report{};
-        const auto size = encodeReport(report, currentReport(m_now, true));
+        auto current = currentReport(m_now, true);
+        if (!balancer.acceptsCapacity) {
+            current.capacity.reset();
+        }
+        const auto size = encodeReport(report, current);
         m_relay.sendCopy({report.data(), size}, {from.address, m_options.balancerPort});
     }
     if (hello.unlisted && entryMissing) {
@@ -450,17 +477,33 @@
 {
     // A period ends at the tick that is nearest to it.
     const auto tolerance = m_options.tickPeriod / 2;
-    std::array<std::uint8_t, maxPeerMessageSize> report{};
-    std::size_t size = 0;
+
+    struct EncodedReport
+    {
+        std::array<std::uint8_t, maxPeerMessageSize> bytes{};
+        std::size_t size = 0;
+    };
+
+    std::optional<Report> report;
+    EncodedReport full;
+    EncodedReport withoutCapacity; // For balancers of earlier versions, which cannot read the full one.
     for (auto &[address, balancer] : m_balancers) {
         if (now - balancer.lastReportAt + tolerance < balancer.reportPeriod) {
             continue;
         }
-        if (size == 0) {
-            size = encodeReport(report, currentReport(now, false));
+        if (!report) {
+            report = currentReport(now, false);
+        }
+        auto &encoded = balancer.acceptsCapacity ? full : withoutCapacity;
+        if (encoded.size == 0) {
+            auto copy = *report;
+            if (!balancer.acceptsCapacity) {
+                copy.capacity.reset();
+            }
+            encoded.size = encodeReport(encoded.bytes, copy);
         }
         balancer.lastReportAt = now;
-        m_relay.sendCopy({report.data(), size}, {address, m_options.balancerPort});
+        m_relay.sendCopy({encoded.bytes.data(), encoded.size}, {address, m_options.balancerPort});
     }
     m_relay.flush();
 }
@@ -478,6 +521,7 @@
         serveQueue(now);
     }
     reportFailing(now);
+    announceCapacity(now);
     sendDueReports(now);
     if (now - m_lastFlowList >= m_options.flowListPeriod) {
         m_lastFlowList = now;
@@ -497,6 +541,21 @@
     m_log.flush(now);
 }
 
+void GateNode::announceCapacity(TimePoint now)
+{
+    updateCapacity(m_state, now);
+    const auto &capacity = learnedCapacity(m_state);
+    m_counters->pace.Set(capacity.answersPerSecond);
+    m_counters->concurrency.Set(capacity.concurrency);
+    const auto before = m_state.capacity.announced.answersPerSecond;
+    if (const auto change = takeCapacityChange(m_state.capacity, now)) {
+        m_log.write(now, "capacity_learned", "pace", change->answersPerSecond, "before", before,
+                    "concurrency", change->concurrency, "evidence", change->evidence, "usual_ms",
+                    change->usualAnswer, "cause", toString(m_state.capacity.cause), "slots",
+                    m_state.capacity.slots, "waiting", m_state.waitingFlows);
+    }
+}
+
 void GateNode::reportFailing(TimePoint now)
 {
     const bool failing = isFailing(m_state, now);
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -196,6 +196,19 @@
     return mayReturnBusy ? returnDecision(ReturnReason::Busy) : GateDecision{.action = GateAction::Queue};
 }
 
+// The learned capacity, with what waits in the opening queue.
+ServerCapacity reportedCapacity(const GateState &state, TimePoint now)
+{
+    auto capacity = learnedCapacity(state);
+    const auto &openings = state.openingQueue.openings;
+    capacity.queuedOpenings = static_cast<std::uint16_t>(std::min<std::size_t>(openings.size(), UINT16_MAX));
+    for (const auto &opening : openings) {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(now - opening.queuedAt);
+        capacity.longestWait = std::max(capacity.longestWait, wait);
+    }
+    return capacity;
+}
+
 } // namespace
 
 std::string_view toString(HeartbeatOutcome outcome)
@@ -242,6 +255,16 @@
     return now < state.ejectedUntil || pendingRequests(state, now) > 0;
 }
 
+const ServerCapacity &learnedCapacity(const GateState &state)
+{
+    return state.capacity.estimate;
+}
+
+void updateCapacity(GateState &state, TimePoint now)
+{
+    observeLoad(state.capacity, state.waitingFlows, now);
+}
+
 GateDecision admitQueued(GateState &state, const QueuedOpening &opening, TimePoint now)
 {
     if (const auto reason = reasonAgainstOpening(state, opening.intendedService, now)) {
@@ -282,10 +305,15 @@
     flow.lastPacketAt = now;
     flow.lastCallerAcknowledgement = segment.acknowledgement;
     flow.callerClosed |= segment.fin;
+    if (segment.rst || segment.payloadSize > 0) {
+        observeLoad(state.capacity, state.waitingFlows, now);
+    }
     if (segment.payloadSize > 0 && !flow.ended) {
         clearExpectedRequest(state, flow);
         if (!flow.requestUnanswered) {
             flow.requestStartedAt = now;
+            flow.requestsAtStart
+                = static_cast<std::uint16_t>(std::min<std::uint32_t>(state.waitingFlows + 1, UINT16_MAX));
         }
         setRequestUnanswered(state, flow, true);
         setIfUnset(state.unansweredPayloadSince, now);
@@ -300,6 +328,9 @@
 {
     state.unansweredOpeningSince = {};
     state.unansweredPayloadSince = {};
+    if (segment.rst || segment.payloadSize > 0) {
+        observeLoad(state.capacity, state.waitingFlows, now);
+    }
     ServerLatencies latencies;
     const auto key = flowFromServer(segment);
     const auto found = state.flows.find(key);
@@ -329,6 +360,7 @@
     if (segment.payloadSize > 0) {
         if (flow.requestUnanswered) {
             latencies.answer = now - flow.requestStartedAt;
+            recordAnswer(state.capacity, flow.requestsAtStart, *latencies.answer, now);
             state.consecutiveResets = 0;
             state.ejections = 0;
         }
@@ -359,6 +391,7 @@
 
 std::vector<FlowReset> removeAllFlows(GateState &state, TimePoint now)
 {
+    observeLoad(state.capacity, state.waitingFlows, now);
     std::vector<FlowReset> resets;
     for (const auto &[key, flow] : state.flows) {
         // A caller that has not acknowledged this server's SYN+ACK may have opened the flow at another
@@ -399,6 +432,11 @@
     state.unansweredOpeningSince = {};
     state.unansweredPayloadSince = {};
     state.lastHeartbeat = std::move(heartbeat);
+    updateCapacity(state, now);
+    applyServerStart(state.capacity, state.lastHeartbeat.startTimeMs, state.lastHeartbeat.slots, now);
+    if (state.coldUntil > now) {
+        excludeUntil(state.capacity, state.coldUntil);
+    }
     if (isNewStart) {
         state.consecutiveResets = 0;
         state.ejections = 0;
@@ -482,6 +520,7 @@
     std::erase_if(state.notes, [&](const auto &entry) {
         return now - entry.second.recordedAt > state.options.noteRetention;
     });
+    updateCapacity(state, now);
     for (auto &[key, flow] : state.flows) {
         if (flow.requestUnanswered && now - flow.requestStartedAt > state.options.maxRequestTime) {
             setRequestUnanswered(state, flow, false);
@@ -529,6 +568,7 @@
 
 Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows)
 {
+    updateCapacity(state, now);
     const bool hasHeartbeat = state.lastHeartbeatAt != TimePoint{};
     std::optional<FlowFilter> heldFlowFilter;
     if (withFlows && (state.hasSeenServerStart || isServerAbsent(state, now))) {
@@ -551,6 +591,7 @@
         .bornAt = state.lastHeartbeat.startTimeMs,
         .isFailing = isFailing(state, now),
         .documents = state.documents,
+        .capacity = reportedCapacity(state, now),
         .heldFlowFilter = heldFlowFilter,
     };
 }
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -429,6 +429,8 @@
         .zone = m_state.options.zone,
         .documents = documents ? documents() : DocumentRevisions{},
         .reportPeriod = backend.reportPeriod,
+        .acceptsCapacity = true,
+        .remembered = takeRememberedCapacity(m_state, index),
     };
     std::array<std::uint8_t, maxPeerMessageSize> bytes{};
     const auto size = encodeHello(bytes, hello);
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace oriolelever {
 
@@ -148,6 +149,63 @@
     return 2 * (backend.report.waiting + backend.placedFlows) < backend.report.slots;
 }
 
+// Keeps what the agent's former start has learned, if the agent has just restarted.
+void rememberCapacity(const PaceOptions &options, Backend &backend, const Report &report, TimePoint now)
+{
+    const auto &former = backend.report;
+    if (former.lifetime == report.lifetime) {
+        return;
+    }
+    backend.rememberedCapacity.reset();
+    const bool isKnown = backend.reportedAt != TimePoint{} && now - backend.reportedAt <= options.maxAge
+        && former.bornAt != 0 && former.capacity && hasPace(options, *former.capacity);
+    if (isKnown) {
+        backend.rememberedCapacity = {.bornAt = former.bornAt, .capacity = *former.capacity};
+    }
+}
+
+// Whether the last report has a pace that can be compared. That of a server that does not answer would lower
+// the median.
+bool hasRecentPace(const PaceOptions &options, const Backend &backend, TimePoint now)
+{
+    return backend.report.state == BackendState::Ready && backend.reportedAt != TimePoint{}
+    && now - backend.reportedAt <= options.maxAge && backend.report.capacity
+        && hasPace(options, *backend.report.capacity);
+}
+
+// Returns the median of the service, calculated again if the last one is older than a report period: the work
+// for each report is constant on average.
+double medianPaceOf(SteeringState &state, ServiceId service, TimePoint now)
+{
+    auto &pace = state.servicePaces[service];
+    if (pace.calculatedAt != TimePoint{} && now - pace.calculatedAt < state.options.reportPeriod) {
+        return pace.median;
+    }
+    std::vector<double> paces;
+    for (const auto &backend : state.backends) {
+        if (backend.report.service == service && hasRecentPace(state.options.pace, backend, now)) {
+            paces.push_back(pacePerSlot(*backend.report.capacity, backend.report.slots));
+        }
+    }
+    pace = {.median = medianPace(paces), .calculatedAt = now};
+    return pace.median;
+}
+
+void updateRelativePace(SteeringState &state, Backend &backend, TimePoint now)
+{
+    const auto &options = state.options.pace;
+    if (!hasRecentPace(options, backend, now)) {
+        backend.relativePace = 1;
+        return;
+    }
+    // Services that are gone would otherwise accumulate.
+    if (state.servicePaces.size() > state.backends.size()) {
+        state.servicePaces.clear();
+    }
+    const double median = medianPaceOf(state, backend.report.service, now);
+    backend.relativePace = relativePace(options, *backend.report.capacity, backend.report.slots, median);
+}
+
 // If the selected service has no server, another service of the route takes the flow, but only on a server
 // with free slots: flows may last long, and must not slow down the callers of that service.
 Placement choosePlacement(SteeringState &state, const VirtualRoute &route, const FlowKey &flow,
@@ -601,9 +659,11 @@
     } else if (backend.report.lifetime != report.lifetime || backend.report.bornAt != report.bornAt) {
         backend.heldFlowFilter.reset();
     }
+    rememberCapacity(state.options.pace, backend, report, now);
     backend.report = report;
     backend.reportedAt = now;
     backend.placedFlows = 0;
+    updateRelativePace(state, backend, now);
 }
 
 void setReportPeriod(SteeringState &state, BackendIndex index, std::chrono::milliseconds period,
@@ -682,11 +742,20 @@
         && isReachable(state, backend, now) && !state.evacuatedZones.contains(backend.report.zone);
 }
 
+double effectiveSlots(const Backend &backend)
+{
+    return std::max<double>(1, backend.report.slots) * backend.relativePace;
+}
+
+std::optional<RememberedCapacity> takeRememberedCapacity(SteeringState &state, BackendIndex index)
+{
+    return std::exchange(state.backends[index].rememberedCapacity, std::nullopt);
+}
+
 double loadOf(const SteeringOptions &options, const Backend &backend)
 {
     const double flows = backend.report.flows + backend.placedFlows;
-    const double load = (flows + options.requestWeight * backend.report.waiting)
-        / std::max<double>(1, backend.report.slots);
+    const double load = (flows + options.requestWeight * backend.report.waiting) / effectiveSlots(backend);
     return backend.report.coldLeft > std::chrono::milliseconds::zero() ? load * options.coldWeight : load;
 }
 
