--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -114,6 +114,8 @@
     /// Sends the list of the server's flows to the balancer that keeps the zone's flows: the one with the
     /// lowest address, of the own zone if there is one.
     void sendFlowList(TimePoint now);
+    /// Logs a change of the learned capacity, and sets its metrics.
+    void announceCapacity(TimePoint now);
     /// Reports at once if the server has begun or ceased to fail.
     void reportFailing(TimePoint now);
     void tick();
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -17,6 +17,7 @@
 #include "oriolelever/peer-message.h"
 #include "oriolelever/request-schedule.h"
 #include "oriolelever/segment.h"
+#include "oriolelever/server-capacity.h"
 
 namespace oriolelever {
 
@@ -155,6 +156,7 @@
     /// Flows that ended with an earlier start of the server, and when.
     std::unordered_map<FlowKey, TimePoint> lostFlows;
     std::unordered_map<FlowKey, FlowNote> notes; ///< Flows of any agent's server.
+    CapacityEstimator capacity; ///< What the server handles well; see `learnedCapacity`.
 };
 
 /// What happens to a packet.
@@ -204,6 +206,13 @@
 /// has still to show by one request that it answers again.
 bool isFailing(GateState &state, TimePoint now);
 
+/// The capacity that the agent has learned of its server: pace, concurrency, evidence and usual time of an
+/// answer, all zero if nothing is known. The other fields are unused.
+const ServerCapacity &learnedCapacity(const GateState &state);
+
+/// Updates the learned capacity while no packets come; call it with each tick.
+void updateCapacity(GateState &state, TimePoint now);
+
 /// Decides about an opening packet that has waited: whether it is delivered, or returned since the server has
 /// changed meanwhile.
 GateDecision admitQueued(GateState &state, const WaitingWork &opening, TimePoint now);
@@ -217,8 +226,8 @@
 /// none.
 bool dropLostRequest(GateState &state, TimePoint now, WaitingWork &out);
 
-/// What waits for the server, as reports state it.
-ServerCapacity waitingWork(const GateState &state, TimePoint now);
+/// The learned capacity and what waits for the server, as reports state them.
+ServerCapacity reportedCapacity(const GateState &state, TimePoint now);
 
 /// Latencies of the server that a packet completes; unset where it completes none.
 struct ServerLatencies
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -62,6 +62,16 @@
                       .Help("Flows with a request that has no answer yet")
                       .Register(registry)
                       .Add({}))
+        , pace(prometheus::BuildGauge()
+                   .Name("oriolelever_server_pace")
+                   .Help("Answers a second that the backend server handles well; 0 if unknown")
+                   .Register(registry)
+                   .Add({}))
+        , concurrency(prometheus::BuildGauge()
+                          .Name("oriolelever_server_concurrency")
+                          .Help("Requests under way up to which the backend server answers well")
+                          .Register(registry)
+                          .Add({}))
         , opening(prometheus::BuildHistogram()
                       .Name("oriolelever_opening_seconds")
                       .Help("From an opening packet to the backend server's answer")
@@ -126,6 +136,8 @@
     prometheus::Counter &malformed;
     prometheus::Gauge &flows;
     prometheus::Gauge &waiting;
+    prometheus::Gauge &pace;
+    prometheus::Gauge &concurrency;
     prometheus::Histogram &opening;
     prometheus::Histogram &answer;
     prometheus::Histogram &wait;
@@ -519,6 +531,16 @@
     balancer.reportPeriod = hello.reportPeriod;
     balancer.zone = hello.zone;
     balancer.acceptsCapacity = hello.acceptsCapacity;
+    if (hello.remembered) {
+        const auto outcome = restoreCapacity(m_state.capacity, *hello.remembered, m_now);
+        if (outcome != RestoreOutcome::Known) {
+            m_log.write(m_now, "capacity_remembered", "balancer", toString(from.address), "outcome",
+                        toString(outcome), "born_at", hello.remembered->bornAt, "pace",
+                        hello.remembered->capacity.answersPerSecond, "concurrency",
+                        hello.remembered->capacity.concurrency, "evidence",
+                        hello.remembered->capacity.evidence);
+        }
+    }
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
     mergeRevisions(m_state.documents, hello.documents);
@@ -662,6 +684,7 @@
         serveQueue(now);
     }
     reportFailing(now);
+    announceCapacity(now);
     sendDueReports(now);
     if (now - m_lastFlowList >= m_options.flowListPeriod) {
         m_lastFlowList = now;
@@ -684,6 +707,21 @@
     m_log.flush(now);
 }
 
+void GateNode::announceCapacity(TimePoint now)
+{
+    updateCapacity(m_state, now);
+    const auto &capacity = learnedCapacity(m_state);
+    m_counters->pace.Set(capacity.answersPerSecond);
+    m_counters->concurrency.Set(capacity.concurrency);
+    const auto before = m_state.capacity.announced.answersPerSecond;
+    if (const auto change = takeCapacityChange(m_state.capacity, now)) {
+        m_log.write(now, "capacity_learned", "pace", change->answersPerSecond, "before", before,
+                    "concurrency", change->concurrency, "evidence", change->evidence, "usual_ms",
+                    change->usualAnswer, "cause", toString(m_state.capacity.cause), "slots",
+                    m_state.capacity.slots, "waiting", m_state.waitingFlows);
+    }
+}
+
 void GateNode::reportFailing(TimePoint now)
 {
     const bool failing = isFailing(m_state, now);
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -251,6 +251,9 @@
 void recordDelivery(GateState &state, HeldFlow &flow, const Segment &segment, TimePoint now)
 {
     flow.callerClosed |= segment.fin;
+    if (segment.rst || segment.payloadSize > 0) {
+        observeLoad(state.capacity, state.waitingFlows, now);
+    }
     if (segment.payloadSize > 0 && !flow.ended) {
         startRequest(state, flow, now);
     }
@@ -386,6 +389,16 @@
     return now < state.ejectedUntil || pendingRequests(state, now) > 0;
 }
 
+const ServerCapacity &learnedCapacity(const GateState &state)
+{
+    return state.capacity.estimate;
+}
+
+void updateCapacity(GateState &state, TimePoint now)
+{
+    observeLoad(state.capacity, state.waitingFlows, now);
+}
+
 GateDecision admitQueued(GateState &state, const WaitingWork &opening, TimePoint now)
 {
     if (const auto reason = reasonAgainstOpening(state, opening.intendedService, now)) {
@@ -474,14 +487,13 @@
     return true;
 }
 
-ServerCapacity waitingWork(const GateState &state, TimePoint now)
+ServerCapacity reportedCapacity(const GateState &state, TimePoint now)
 {
     const auto &schedule = state.schedule;
-    ServerCapacity capacity{
-        .queuedOpenings = static_cast<std::uint16_t>(schedule.work.size() - schedule.requests),
-        .queuedRequests = static_cast<std::uint16_t>(schedule.requests),
-        .openings = state.openings,
-    };
+    auto capacity = learnedCapacity(state);
+    capacity.queuedOpenings = static_cast<std::uint16_t>(schedule.work.size() - schedule.requests);
+    capacity.queuedRequests = static_cast<std::uint16_t>(schedule.requests);
+    capacity.openings = state.openings;
     for (const auto &work : schedule.work) {
         if (work.isAbandoned) {
             continue;
@@ -496,6 +508,9 @@
 {
     state.unansweredOpeningSince = {};
     state.unansweredPayloadSince = {};
+    if (segment.rst || segment.payloadSize > 0) {
+        observeLoad(state.capacity, state.waitingFlows, now);
+    }
     ServerLatencies latencies;
     const auto key = flowFromServer(segment);
     const auto found = state.flows.find(key);
@@ -526,6 +541,7 @@
         if (flow.requestUnanswered) {
             latencies.answer = now - flow.requestStartedAt;
             learnUsualWork(state, flow, *latencies.answer, now);
+            recordAnswer(state.capacity, flow.requestsAtStart, *latencies.answer, now);
             state.consecutiveResets = 0;
             state.ejections = 0;
         }
@@ -556,6 +572,7 @@
 
 std::vector<FlowReset> removeAllFlows(GateState &state, TimePoint now)
 {
+    observeLoad(state.capacity, state.waitingFlows, now);
     std::vector<FlowReset> resets;
     for (const auto &[key, flow] : state.flows) {
         // A caller that has not acknowledged this server's SYN+ACK may have opened the flow at another
@@ -597,6 +614,11 @@
     state.unansweredOpeningSince = {};
     state.unansweredPayloadSince = {};
     state.lastHeartbeat = std::move(heartbeat);
+    updateCapacity(state, now);
+    applyServerStart(state.capacity, state.lastHeartbeat.startTimeMs, state.lastHeartbeat.slots, now);
+    if (state.coldUntil > now) {
+        excludeUntil(state.capacity, state.coldUntil);
+    }
     if (isNewStart) {
         state.consecutiveResets = 0;
         state.ejections = 0;
@@ -682,6 +704,7 @@
     std::erase_if(state.notes, [&](const auto &entry) {
         return now - entry.second.recordedAt > state.options.noteRetention;
     });
+    updateCapacity(state, now);
     for (auto &[key, flow] : state.flows) {
         if (flow.requestUnanswered && now - flow.requestStartedAt > state.options.maxRequestTime) {
             setRequestUnanswered(state, flow, false);
@@ -730,6 +753,7 @@
 
 Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows)
 {
+    updateCapacity(state, now);
     const bool hasHeartbeat = state.lastHeartbeatAt != TimePoint{};
     std::optional<FlowFilter> heldFlowFilter;
     if (withFlows && (state.hasSeenServerStart || isServerAbsent(state, now))) {
@@ -751,7 +775,7 @@
         .bornAt = state.lastHeartbeat.startTimeMs,
         .isFailing = isFailing(state, now),
         .documents = state.documents,
-        .capacity = waitingWork(state, now),
+        .capacity = reportedCapacity(state, now),
         .heldFlowFilter = heldFlowFilter,
     };
 }
