--- a/include/oriolelever/server-capacity.h
+++ b/include/oriolelever/server-capacity.h
@@ -190,7 +190,8 @@
 /// Returns the answers a second for each slot that the server states.
 double pacePerSlot(const ServerCapacity &capacity, std::uint32_t slots);
 
-/// Returns the lower median and reorders `paces`; 0 if there are none.
+/// Returns the median, for an even number the mean of the middle two, and reorders `paces`; 0 if there are
+/// none.
 double medianPace(std::span<double> paces);
 
 /// Returns the server's pace per slot relative to the service's median, 1 if they count as equal.
--- a/src/server-capacity.cc
+++ b/src/server-capacity.cc
@@ -408,9 +408,13 @@
     if (paces.empty()) {
         return 0;
     }
-    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
     std::nth_element(paces.begin(), middle, paces.end());
-    return *middle;
+    if (paces.size() % 2 == 1) {
+        return *middle;
+    }
+    // The lower one alone would make all servers look fast.
+    return (*std::max_element(paces.begin(), middle) + *middle) / 2;
 }
 
 double relativePace(const PaceOptions &options, const ServerCapacity &capacity, std::uint32_t slots,
