A lost watch is noticed in time after a common start of all processes

Cause: processes that start together, or get the same change or failure, sent their watches at the same moment, and none ended before three quarters of its time. If the store lost the pending watches then, as when it steps back, no balancer noticed for 2.4 to 6.1 s, and the others heard of it up to a second later.

The soak's store link can refuse connections.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -76,6 +76,8 @@
     class Probe;
 
     void handleBalancerDatagram(std::span<std::uint8_t> bytes, const Endpoint &from);
+    /// Reports to all balancers at once if these are later revisions than known.
+    void learnDocuments(const DocumentRevisions &documents);
     void handleHello(std::span<std::uint8_t> bytes, const Endpoint &from);
     void handleServerPacket(std::span<std::uint8_t> bytes);
     void handleNote(std::span<std::uint8_t> bytes);
--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -35,6 +35,20 @@
 /// `watchEndPeriod`; the more they are, the longer each may wait.
 std::chrono::milliseconds sharedWatchTimeout(std::size_t watchers);
 
+/// What preceded a watch.
+enum class PreviousWatch {
+    Unchanged, ///< A watch that waited its whole time and got no changes.
+    Other, ///< A list, a failed call, changes, or a new timeout: other processes had the same at the same
+           ///< time.
+};
+
+/// Returns how long a watch should wait. After what all processes meet together, such as their start, a
+/// change or a failure of the store, the end is uniform in the whole time: otherwise no watch would end for
+/// three quarters of `timeout`, and watches that the store has lost would all stay unnoticed so long.
+/// `randomFraction` is uniform in [0, 1).
+std::chrono::milliseconds watchWaitAfter(PreviousWatch previous, std::chrono::milliseconds timeout,
+                                         double randomFraction);
+
 constexpr std::chrono::milliseconds watchEndPeriod{350};
 constexpr std::chrono::milliseconds minSharedWatchTimeout{4000};
 /// Below the longest wait of the platform's store, 30 s.
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -75,6 +75,9 @@
     /// Sets the zones whose servers get no new flows, as the store orders as of `position`; replaces the
     /// previous ones, see `applyEvacuations`.
     void setEvacuatedZones(const std::set<std::string> &zones, const StorePosition &position);
+    /// Tells a few agents of the own zone at once what `documents` returns; the others learn it with their
+    /// next hellos.
+    void announceDocuments();
     /// Sets the hosts of all agents that have an entry in the platform's store; replaces the previous ones.
     void setListedAgents(const std::vector<IpAddress> &hosts);
 
--- a/lab/soak-network.cc
+++ b/lab/soak-network.cc
@@ -150,8 +150,10 @@
             return;
         }
         asio::error_code failed;
-        pair->store.connect(m_store, failed);
-        if (!failed) {
+        if (!faults.refusing) {
+            pair->store.connect(m_store, failed);
+        }
+        if (!failed && !faults.refusing) {
             m_pairs.remove_if([](const auto &weak) { return weak.expired(); });
             m_pairs.push_back(pair);
             pump(pair, false);
--- a/lab/soak-network.h
+++ b/lab/soak-network.h
@@ -80,6 +80,7 @@
     bool silent = false; ///< Bytes are lost both ways.
     bool deaf = false; ///< The store's answers are lost.
     std::chrono::milliseconds delay{0}; ///< Of answers.
+    bool refusing = false; ///< New connections are closed at once.
 };
 
 /// Passes the connections of one process to the store.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -326,7 +326,17 @@
 
 void GateNode::recordStoreEra(std::uint64_t era)
 {
-    mergeRevisions(m_state.documents, {.era = eraTagOf(era)});
+    learnDocuments({.era = eraTagOf(era)});
+}
+
+void GateNode::learnDocuments(const DocumentRevisions &documents)
+{
+    const auto before = m_state.documents;
+    mergeRevisions(m_state.documents, documents);
+    if (before != m_state.documents) {
+        // A balancer whose watch hangs waits for this word.
+        sendReports();
+    }
 }
 
 void GateNode::handleHello(std::span<std::uint8_t> bytes, const Endpoint &from)
@@ -344,7 +354,7 @@
     balancer.zone = hello.zone;
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
-    mergeRevisions(m_state.documents, hello.documents);
+    learnDocuments(hello.documents);
     if (isNew) {
         m_log.write(m_now, "balancer_heard", "balancer", toString(from.address), "balancer_lifetime",
                     hello.lifetime);
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -24,6 +24,15 @@
     return std::clamp<std::chrono::milliseconds>(timeout, minSharedWatchTimeout, maxSharedWatchTimeout);
 }
 
+std::chrono::milliseconds watchWaitAfter(PreviousWatch previous, std::chrono::milliseconds timeout,
+                                         double randomFraction)
+{
+    constexpr double shortestUsualShare = 0.75;
+    const double shortest = previous == PreviousWatch::Unchanged ? shortestUsualShare : 0;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        timeout * (shortest + randomFraction * (1 - shortest)));
+}
+
 std::string_view toString(ChangeSource source)
 {
     switch (source) {
@@ -119,10 +128,10 @@
 
     void watch()
     {
-        // Processes that started together do not let their watches end together.
-        const auto shortest = options.watchTimeout * 3 / 4;
-        const std::chrono::milliseconds usualWait(std::uniform_int_distribution<std::int64_t>(
-            shortest.count(), options.watchTimeout.count())(random));
+        const auto usualWait = watchWaitAfter(previousWatch, options.watchTimeout,
+                                              std::uniform_real_distribution<double>(0, 1)(random));
+        previousWatch = PreviousWatch::Other;
+        usedTimeout = failures > 0 ? std::chrono::milliseconds::zero() : options.watchTimeout;
         callStart = std::chrono::steady_clock::now();
         api.watch({options.kind}, position, watchWait(failures, usualWait),
                   [self = shared_from_this(), after = position](const Answer<WatchBatch> &answer) {
@@ -157,6 +166,9 @@
             }
         }
         position = batch.position;
+        if (batch.events.empty() && usedTimeout == options.watchTimeout) {
+            previousWatch = PreviousWatch::Unchanged;
+        }
         if (!batch.events.empty()) {
             lastChange = position;
             source = ChangeSource::Watch;
@@ -234,6 +246,8 @@
     std::chrono::steady_clock::time_point callStart{}; // Of the last list or watch, without `catchUp`.
     std::chrono::steady_clock::time_point catchUpStart{};
     ChangeSource source = ChangeSource::List;
+    PreviousWatch previousWatch = PreviousWatch::Other;
+    std::chrono::milliseconds usedTimeout{0}; // Of the last watch; zero after a failure, see `watchWait`.
     int failures = 0; // Consecutive failed calls.
     void (State::*pendingRetry)() = nullptr; // Call that waits to be made again.
     bool hasListed = false;
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr std::chrono::seconds expiryPeriod{5}; // Between two removals of idle flows.
+// Agents that are told of a change at once. Each reports it to all balancers, so that one is enough unless
+// its messages are lost.
+constexpr std::size_t announcedAgentCount = 3;
 
 } // namespace
 
@@ -179,6 +182,24 @@
                 m_state.hold.zones.size(), "era", position.era, "revision", position.revision);
 }
 
+void SteeringNode::announceDocuments()
+{
+    const auto now = steadyNow();
+    m_helloSentAt.resize(m_state.backends.size());
+    std::size_t announced = 0;
+    for (std::size_t i = 0; i < m_state.backends.size() && announced < announcedAgentCount; ++i) {
+        // Balancers begin at different agents.
+        const auto index = static_cast<BackendIndex>((m_options.lifetime + i) % m_state.backends.size());
+        const auto &backend = m_state.backends[index];
+        if (backend.report.zone != m_state.options.zone || !isReachable(m_state, backend, now)) {
+            continue;
+        }
+        sendHello(index);
+        ++announced;
+    }
+    m_agentSocket.flush();
+}
+
 void SteeringNode::setListedAgents(const std::vector<IpAddress> &hosts)
 {
     const auto now = steadyNow();
--- a/test/presence-test.cc
+++ b/test/presence-test.cc
@@ -187,6 +187,17 @@
     EXPECT_LT(api.waits.back() + maxCallTimeout + options.maxRetryDelay, applyTime);
 }
 
+// Guards against watches of processes that start together, or get the same change, which all end after three
+// quarters of their time at the earliest: none notices in time that the store has lost them.
+TEST(ObjectFollowerTest, WatchesThatBeginTogetherEndAtDifferentTimes)
+{
+    constexpr milliseconds timeout{8000};
+    EXPECT_EQ(watchWaitAfter(PreviousWatch::Other, timeout, 0.0), milliseconds(0));
+    EXPECT_EQ(watchWaitAfter(PreviousWatch::Other, timeout, 0.5), milliseconds(4000));
+    EXPECT_EQ(watchWaitAfter(PreviousWatch::Unchanged, timeout, 0.0), milliseconds(6000));
+    EXPECT_EQ(watchWaitAfter(PreviousWatch::Unchanged, timeout, 0.5), milliseconds(7000));
+}
+
 TEST(ObjectFollowerTest, TheMoreWatchersTheLongerTheyWait)
 {
     EXPECT_EQ(sharedWatchTimeout(0), minSharedWatchTimeout);
