--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -544,5 +544,29 @@
     EXPECT_EQ(hosts[0]->server->flows.size() + hosts[1]->server->flows.size(), 1U);
 }
 
+// Guards against a change that one balancer has seen, and that the others, whose watches the store has lost,
+// learn with its next hello only, up to a second later.
+TEST_F(GatePathTest, WhatABalancerHasLearnedReachesTheOthersAtOnce)
+{
+    DocumentRevisions known{.era = 1, .configuration = 6};
+    balancer->documents = [&] {
+        return known;
+    };
+    std::uint64_t reported = 0;
+    balancer->reported = [&](const Report &report) {
+        reported = report.documents.configuration;
+    };
+    const auto start = std::chrono::steady_clock::now();
+    constexpr int changes = 4;
+    for (int i = 0; i < changes; ++i) {
+        ++known.configuration;
+        balancer->announceDocuments();
+        runUntil(context, [&] { return reported == known.configuration; });
+    }
+    // With hellos alone, each change after the first takes one more period.
+    EXPECT_LT(std::chrono::steady_clock::now() - start, SteeringNodeOptions{}.helloPeriod);
+    balancer->reported = {};
+}
+
 } // namespace
 } // namespace oriolelever
