Room of the zones decides about new flows of routes with terms

Cause: a zone kept its new flows while its load was at most 1.25 times the mean of all zones plus one flow a slot, by reports of the other zones that were up to a second old. In the tests' world (three zones of 15 servers with 2 slots, 99 balancers), a zone at 1.17 of its capacity beside two at 0.39 got 0.15 of its requests in time, and waves of 55 % got 0.85 to 0.89. Under a burst of 3, an opening packet was offered 12 times on average before it was refused.

Change: a balancer aggregates slots in use, waiting work and report ages of each service and zone, at most every 100 ms. A zone whose slots run out sends the missing share to zones with room, in proportion to their room, and takes it back by at most a tenth in a report period. An opening packet is refused as overloaded if recent reports of all servers show that none starts its request in time; one that an agent returned as full is offered to one other server. Routes without terms are handled as before.

--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -122,6 +122,11 @@
     /// Asks agents for the flows that they hold, and resets the callers of flows that nobody holds.
     void resolveUnknownFlows(TimePoint now);
     void sendHello(BackendIndex index);
+    /// Counts a new flow by service and zone of its server, if the zones' room has decided about it.
+    void countZoneFlow(const SteeringDecision &decision);
+    /// Updates the zones' room, and logs and publishes what has changed.
+    void updateZones(TimePoint now);
+    void logShareChange(ServiceId service, const ShareChange &change, TimePoint now);
     void tick();
     void scheduleTick();
 
@@ -144,6 +149,7 @@
     FlowRegistry m_registry; ///< Flows that agents have listed, or a snapshot.
     bool m_hasRegistryChanged = false; ///< Agents have listed other flows since the last snapshot.
     bool m_isDraining = false;
+    bool m_isIsolated = false; ///< Logged last.
 };
 
 } // namespace oriolelever
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -18,6 +18,7 @@
 #include "oriolelever/peer-message.h"
 #include "oriolelever/routing-table.h"
 #include "oriolelever/segment.h"
+#include "oriolelever/service-room.h"
 
 namespace oriolelever {
 
@@ -84,6 +85,10 @@
     double discoveryLoadLimit = 4.0;
     double requestWeight = 2.0; ///< Load of a running request relative to an open flow.
     double coldWeight = 2.0; ///< Load of a flow on a cold server relative to a warm one.
+    /// Room of the zones decides about new flows of routes that state terms; otherwise, and on all other
+    /// routes, `chooseBackend` alone does.
+    bool usesRooms = true;
+    RoomOptions room;
 };
 
 /// Number of servers that a flow's key ranks first, in the balancer's zone and again in the other zones. A
@@ -102,11 +107,16 @@
     TimePoint knownSince{}; ///< When the agent became known, or the end of the last stall.
     TimePoint agentStartedAt{}; ///< When the first report of the agent's current start came.
     std::uint32_t placedFlows = 0; ///< New flows that this balancer has sent there since `report`.
+    /// Expected requests of the server at `backlogAt`: those of `report` and one for each flow placed since,
+    /// less what the server has answered at its learned pace.
+    double backlog = 0;
+    TimePoint backlogAt{};
     std::optional<FlowFilter> heldFlowFilter; ///< The last that the agent sent in its current start.
     TimePoint heldFlowFilterAt{}; ///< When `heldFlowFilter` came.
     std::chrono::milliseconds reportPeriod{200}; ///< As the agent was asked.
     TimePoint reportPeriodSetAt{}; ///< When `reportPeriod` changed last.
     bool isEntryMissing = false; ///< The agent reports, but has no entry in the platform's store.
+    bool hasRefused = false; ///< The agent has returned an opening packet as full since `report`.
 };
 
 /// Number of agents that are queried for the note of a flow.
@@ -133,6 +143,7 @@
     bool areNotesSent = false; ///< Agents keep notes of the holder.
     bool isUnresolved = false; ///< The flow's key is in `SteeringState::unresolvedFlows`.
     std::uint8_t undecidedSearches = 0; ///< Consecutive searches that stayed undecided.
+    std::uint8_t fullReturns = 0; ///< How often agents have returned the opening packet as full.
     std::uint8_t noteQueries = 0; ///< How many agents of `noteAgentsFor` the search has gone through.
     std::uint32_t offeredSequence = 0; ///< Sequence of the packet that the search offered last.
     /// Acknowledgement of the packet that the holder got first; a different one in a later packet shows that
@@ -169,6 +180,7 @@
     NoServer, ///< No server of the route accepts a new flow.
     NotHeld, ///< No server holds the flow.
     Undecided, ///< No server is known to hold the flow, but some could not be ruled out.
+    Overloaded, ///< No server of the service can start a request in the time that the caller has left.
     NotFromCaller, ///< Callers do not send such packets.
 };
 
@@ -228,6 +240,9 @@
     TimePoint lastSearchStartedAt{}; ///< When a search started last.
     TimePoint lastOfferAt{}; ///< When a search last offered a packet to an agent that no note named.
     std::uint32_t selectionCounter = 0; ///< Counts placements; varies the choice of service and tie-breaks.
+    std::unordered_map<ServiceId, ServiceRoom> rooms; ///< Of services that a route with terms names.
+    TimePoint roomsUpdatedAt{}; ///< When `updateRooms` last did.
+    std::uint32_t zoneCounter = 0; ///< Counts flows that were placed by the zones' room.
 };
 
 /// Returns the agent on `host`, adding it if it is not known yet.
@@ -303,6 +318,16 @@
 BackendIndex chooseBackend(const SteeringState &state, ServiceId service, const FlowKey &flow,
                            const std::vector<BackendIndex> &rejectedBy, TimePoint now);
 
+/// Brings `SteeringState::rooms` up to date if the last update is `RoomOptions::updatePeriod` old. Linear in
+/// the number of agents; a placement calls it.
+void updateRooms(SteeringState &state, TimePoint now);
+
+/// Returns the server for a new flow of a route with terms: in the zone that the shares of `room` select, the
+/// least loaded of those that the flow's key ranks first, or of all if these are loaded far above the zone's
+/// mean. Falls back to `chooseBackend` if the zone has no server for the flow.
+BackendIndex chooseByRoom(SteeringState &state, const ServiceRoom &room, ServiceId service,
+                          const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy, TimePoint now);
+
 /// Returns the agents that are queried for the note of a flow, by preference; the first `noteReplicaCount` of
 /// them keep it. Equal at all balancers that know the same agents. Unused places hold `noBackend`.
 std::array<BackendIndex, noteQueryCount> noteAgentsFor(const SteeringState &state, const FlowKey &flow,
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -55,6 +55,8 @@
                                                           "configuration_read",
                                                           "store_regained",
                                                           "evacuations_in_force",
+                                                          "zone_share_changed",
+                                                          "balancer_isolated",
                                                           "configuration_in_force",
                                                           "suppressed"};
     return names.contains(event.event);
@@ -102,6 +104,11 @@
         return fmt::format("{} refused the flow: no server of the service accepted it (configuration {})",
                            event.node, fieldText(event.fields, "version"));
     }
+    if (cause == "overloaded") {
+        return fmt::format("{} refused the flow: no server of the service could start its request within the "
+                           "time that the caller had left (configuration {})",
+                           event.node, fieldText(event.fields, "version"));
+    }
     if (cause == "no_route") {
         return fmt::format("{} refused the flow: configuration {} has no route for its address", event.node,
                            fieldText(event.fields, "version"));
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 #include <prometheus/counter.h>
@@ -15,6 +16,21 @@
 
 constexpr std::chrono::seconds expiryPeriod{5}; // Between two removals of idle flows.
 
+// Services and zones are known by the hashes of their names.
+template<typename Tag>
+std::string idText(Id<Tag> id)
+{
+    return fmt::format("{:016x}", id.value);
+}
+
+// Metrics of a service in a zone.
+struct ZoneMetrics
+{
+    prometheus::Counter *flows = nullptr;
+    prometheus::Gauge *share = nullptr;
+    prometheus::Gauge *room = nullptr;
+};
+
 } // namespace
 
 struct SteeringNode::Counters
@@ -44,6 +60,18 @@
                               .Help("Agents that reported lately")
                               .Register(registry)
                               .Add({}))
+        , zoneFlowFamily(prometheus::BuildCounter()
+                             .Name("oriolelever_zone_flows_total")
+                             .Help("New flows by service, zone of the balancer and zone of the server")
+                             .Register(registry))
+        , zoneShareFamily(prometheus::BuildGauge()
+                              .Name("oriolelever_zone_share")
+                              .Help("Share of new flows that goes to the zone")
+                              .Register(registry))
+        , zoneRoomFamily(prometheus::BuildGauge()
+                             .Name("oriolelever_zone_room_slots")
+                             .Help("Free slots of the service's servers in the zone")
+                             .Register(registry))
     {
         for (std::size_t i = 0; i < steeringCauseCount; ++i) {
             packetsByCause[i]
@@ -51,12 +79,30 @@
         }
     }
 
+    // Kept by service and zone: a look-up in a family compares labels as text.
+    ZoneMetrics &zoneMetrics(ServiceId service, ZoneId from, ZoneId to)
+    {
+        auto &metrics = byZone[{service, to}];
+        if (metrics.flows == nullptr) {
+            const std::map<std::string, std::string> labels{
+                {"service", idText(service)}, {"from", idText(from)}, {"to", idText(to)}};
+            metrics = {.flows = &zoneFlowFamily.Add(labels),
+                       .share = &zoneShareFamily.Add(labels),
+                       .room = &zoneRoomFamily.Add(labels)};
+        }
+        return metrics;
+    }
+
     prometheus::Family<prometheus::Counter> &packetFamily;
     std::array<prometheus::Counter *, steeringCauseCount> packetsByCause{};
     prometheus::Counter &malformedDatagrams;
     prometheus::Gauge &flows;
     prometheus::Gauge &version;
     prometheus::Gauge &reachableAgents;
+    prometheus::Family<prometheus::Counter> &zoneFlowFamily;
+    prometheus::Family<prometheus::Gauge> &zoneShareFamily;
+    prometheus::Family<prometheus::Gauge> &zoneRoomFamily;
+    std::map<std::pair<ServiceId, ZoneId>, ZoneMetrics> byZone;
 };
 
 SteeringNode::SteeringNode(asio::io_context &context, SteeringNodeOptions options, EventLog &log,
@@ -220,6 +266,7 @@
     m_counters->packetsByCause[static_cast<std::size_t>(decision.cause)]->Increment();
     if (decision.cause != SteeringCause::Known) {
         logDecision(decision, segment);
+        countZoneFlow(decision);
     }
     if (decision.action == SteeringAction::Drop) {
         return;
@@ -467,10 +514,56 @@
     resetUnheldFlows(now);
 }
 
+void SteeringNode::countZoneFlow(const SteeringDecision &decision)
+{
+    const bool isNewFlow = decision.cause == SteeringCause::Placed || decision.cause == SteeringCause::Moved;
+    if (isNewFlow && decision.backend != noBackend && m_state.rooms.contains(decision.service)) {
+        const auto zone = m_state.backends[decision.backend].report.zone;
+        m_counters->zoneMetrics(decision.service, m_state.options.zone, zone).flows->Increment();
+    }
+}
+
+void SteeringNode::logShareChange(ServiceId service, const ShareChange &change, TimePoint now)
+{
+    // A zone is known by a hash; the address of one of its servers tells operators which one it is.
+    const auto example
+        = std::find_if(m_state.backends.begin(), m_state.backends.end(), [&](const Backend &backend) {
+              return backend.report.zone == change.to && backend.report.service == service;
+          });
+    m_log.write(now, "zone_share_changed", "service", idText(service), "from", idText(change.from), "to",
+                idText(change.to), "server",
+                example != m_state.backends.end() ? toString(example->host) : std::string(), "before",
+                change.before, "after", change.after, "own_load", change.ownLoad, "other_load",
+                change.otherLoad, "room", change.room, "oldest_report_ms", change.oldestReport);
+}
+
+void SteeringNode::updateZones(TimePoint now)
+{
+    updateRooms(m_state, now);
+    for (auto &[service, room] : m_state.rooms) {
+        ShareChange change;
+        while (takeShareChange(room, m_state.options.room, m_state.options.zone, change)) {
+            logShareChange(service, change, now);
+        }
+        const double ownShare = 1 - remoteShare(room);
+        for (const auto &zone : room.zones) {
+            auto &metrics = m_counters->zoneMetrics(service, m_state.options.zone, zone.zone);
+            metrics.share->Set(zone.zone == m_state.options.zone ? ownShare : zone.share);
+            metrics.room->Set(zone.room());
+        }
+    }
+    const bool isIsolatedNow = !m_state.backends.empty() && isIsolated(m_state, now);
+    if (isIsolatedNow != m_isIsolated) {
+        m_isIsolated = isIsolatedNow;
+        m_log.write(now, "balancer_isolated", "isolated", isIsolatedNow, "agents", m_state.backends.size());
+    }
+}
+
 void SteeringNode::tick()
 {
     updateClock();
     const auto now = std::exchange(m_now, TimePoint{});
+    updateZones(now);
     m_helloSentAt.resize(m_state.backends.size());
     const auto reportPeriods = oriolelever::reportPeriods(m_state, now);
     std::size_t reachableAgents = 0;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -1,6 +1,7 @@
 #include "oriolelever/steering.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace oriolelever {
@@ -50,6 +51,21 @@
     }
 };
 
+// The least loaded of the servers that were considered.
+struct Choice
+{
+    BackendIndex backend = noBackend;
+    double load = std::numeric_limits<double>::infinity();
+
+    void consider(BackendIndex index, double indexLoad)
+    {
+        if (indexLoad < load) {
+            backend = index;
+            load = indexLoad;
+        }
+    }
+};
+
 // Servers of the balancer's zone and of the other zones, ranked for a flow.
 struct FlowRanking
 {
@@ -137,7 +153,8 @@
 struct Placement
 {
     BackendIndex backend = noBackend;
-    ServiceId service;
+    ServiceId service; ///< Also set if no server was found because the service is overloaded.
+    bool isOverloaded = false;
 };
 
 // Whether less than half of the slots are in use, so that one more flow does not delay those that the server
@@ -148,13 +165,167 @@
     return 2 * (backend.report.waiting + backend.placedFlows) < backend.report.slots;
 }
 
+// What the room of the server's zone counts of it. A capacity that the agent has not learned, or that cannot
+// be, leaves the slots.
+ServerRoom roomOf(const SteeringOptions &options, const Backend &backend, TimePoint now)
+{
+    const auto &report = backend.report;
+    ServerRoom room{.zone = report.zone,
+                    .slots = std::max<double>(1, report.slots),
+                    .requests = static_cast<double>(report.waiting),
+                    .placed = static_cast<double>(backend.placedFlows),
+                    .isFailing = report.isFailing,
+                    .reportAge = now - backend.reportedAt,
+                    .reportPeriod = backend.reportPeriod};
+    if (report.capacity) {
+        const auto &capacity = *report.capacity;
+        if (capacity.concurrency >= 1) {
+            room.slots = std::min(room.slots, capacity.concurrency);
+        }
+        room.queued = capacity.queuedOpenings + capacity.queuedRequests;
+        room.answersPerSecond = capacity.answersPerSecond;
+        room.longestWait = capacity.longestWait;
+    }
+    if (report.coldLeft > std::chrono::milliseconds::zero()) {
+        room.slots /= options.coldWeight;
+    }
+    return room;
+}
+
+// Whether the zones' room decides about the route's new flows.
+bool usesRooms(const SteeringState &state, const VirtualRoute &route)
+{
+    return state.options.usesRooms && route.terms != RouteTerms{};
+}
+
+// The room of the service, up to date; null if the route's flows are placed without it.
+const ServiceRoom *roomFor(SteeringState &state, const VirtualRoute &route, ServiceId service, TimePoint now)
+{
+    if (!usesRooms(state, route)) {
+        return nullptr;
+    }
+    updateRooms(state, now);
+    const auto found = state.rooms.find(service);
+    return found == state.rooms.end() ? nullptr : &found->second;
+}
+
+// `Backend::backlog` as of now.
+double backlogOf(const Backend &backend, TimePoint now)
+{
+    const double pace = backend.report.capacity ? backend.report.capacity->answersPerSecond : 0;
+    if (!(pace > 0) || !std::isfinite(pace)) {
+        return backend.backlog;
+    }
+    const double elapsed = std::chrono::duration<double>(now - backend.backlogAt).count();
+    return std::max(0.0, backend.backlog - pace * elapsed);
+}
+
+// Counts a new flow that is sent to the server.
+void recordPlacement(Backend &backend, TimePoint now)
+{
+    ++backend.placedFlows;
+    backend.backlog = backlogOf(backend, now) + 1;
+    backend.backlogAt = now;
+}
+
+// `loadOf` with what waits at the agent, and without the flows placed since the report whose request is
+// answered by now. Between two reports a server answers many short requests: counting all of them would send
+// a burst to the server that has reported last.
+double currentLoad(const SteeringOptions &options, const Backend &backend, TimePoint now)
+{
+    const auto &report = backend.report;
+    if (!report.capacity || !(report.capacity->answersPerSecond > 0)) {
+        return loadOf(options, backend);
+    }
+    const double requests = backlogOf(backend, now) - report.waiting;
+    const double correction = options.requestWeight * requests - backend.placedFlows;
+    return std::max(0.0, loadOf(options, backend) + correction / std::max<double>(1, report.slots));
+}
+
+// Chooses a server from those that `isCandidate` accepts, in one pass: the least loaded of those that the
+// flow's key ranks first, while its load is acceptable, and otherwise the least loaded of all.
+template<typename Wanted>
+Choice chooseLeastLoaded(const SteeringState &state, const FlowKey &flow, TimePoint now, Wanted isCandidate)
+{
+    Choice any;
+    Choice ranked;
+    Ranking<rankedServerCount> ranking;
+    const std::uint64_t flowHash = hashFlow(flow);
+    double loadSum = 0;
+    std::size_t candidates = 0;
+    const std::size_t count = state.backends.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        // Starts at another server each time, as a tie-break.
+        const auto index = static_cast<BackendIndex>((i + state.selectionCounter) % count);
+        const auto &backend = state.backends[index];
+        if (!isCandidate(index, backend)) {
+            continue;
+        }
+        const double load = currentLoad(state.options, backend, now);
+        loadSum += load;
+        ++candidates;
+        any.consider(index, load);
+        ranking.insert(index, mixHash(flowHash ^ backend.hostHash));
+    }
+    for (const auto index : ranking.best) {
+        if (index != noBackend) {
+            ranked.consider(index, currentLoad(state.options, state.backends[index], now));
+        }
+    }
+    const double meanLoad = candidates == 0 ? 0 : loadSum / static_cast<double>(candidates);
+    const double acceptable = meanLoad * state.options.zoneLoadFactor + state.options.zoneLoadOffset;
+    return ranked.load <= acceptable ? ranked : any;
+}
+
+// Chooses a server for an opening packet that the agent of another one has returned, since its caller would
+// have to wait there. The own zone is left only for a server whose load is clearly lower.
+BackendIndex chooseAfterReturn(const SteeringState &state, const ServiceRoom &room, ServiceId service,
+                               const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy,
+                               TimePoint now)
+{
+    const auto chooseIn = [&](bool ownZone) {
+        return chooseLeastLoaded(state, flow, now, [&](BackendIndex index, const Backend &backend) {
+            return (backend.report.zone == state.options.zone) == ownZone && !backend.hasRefused
+                && acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index)
+                && (room.areMostFailing || !backend.report.isFailing);
+        });
+    };
+    const auto own = chooseIn(true);
+    const auto other = chooseIn(false);
+    const double acceptable = other.load * state.options.zoneLoadFactor + state.options.zoneLoadOffset;
+    return own.load <= acceptable ? own.backend : other.backend;
+}
+
+// Whether no agent is reachable, so that the balancer cannot tell whether servers have room.
+bool isBlind(const SteeringState &state, TimePoint now)
+{
+    return std::none_of(state.backends.begin(), state.backends.end(),
+                        [&](const Backend &backend) { return isReachable(state, backend, now); });
+}
+
+// Whether recent reports of all servers show that none can start the flow's request in time. An agent that
+// has not reported yet, or has still to discover its server, may have room.
+bool isOverloaded(const SteeringState &state, const ServiceRoom &room, const RouteTerms &terms,
+                  ServiceId service, const SteeredFlow &flow, TimePoint now)
+{
+    const auto left = timeLeft(state.options.room, terms, now - flow.openedAt);
+    return mustRefuse(room, terms, left, now) && hasInitialReports(state, now)
+        && !isDiscoveryPending(state, service, now);
+}
+
 // If the selected service has no server, another service of the route takes the flow, but only on a server
 // with free slots: flows may last long, and must not slow down the callers of that service.
-Placement choosePlacement(SteeringState &state, const VirtualRoute &route, const FlowKey &flow,
-                          const std::vector<BackendIndex> &rejectedBy, TimePoint now)
+Placement choosePlacement(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
+                          const SteeredFlow &flow, TimePoint now)
 {
+    const auto &rejectedBy = flow.rejectedBy;
     const auto selected = selectService(route, state.selectionCounter++);
-    const auto best = chooseBackend(state, selected, flow, rejectedBy, now);
+    const auto *room = roomFor(state, route, selected, now);
+    if (room != nullptr && isOverloaded(state, *room, route.terms, selected, flow, now)) {
+        return {.service = selected, .isOverloaded = true};
+    }
+    const auto best = room != nullptr ? chooseByRoom(state, *room, selected, key, rejectedBy, now)
+                                      : chooseBackend(state, selected, key, rejectedBy, now);
     if (best != noBackend) {
         return {best, selected};
     }
@@ -165,7 +336,7 @@
         if (weighted.weight == 0 || weighted.service == selected) {
             continue;
         }
-        const auto other = chooseBackend(state, weighted.service, flow, rejectedBy, now);
+        const auto other = chooseBackend(state, weighted.service, key, rejectedBy, now);
         if (other != noBackend && hasFreeSlots(state.backends[other])) {
             return {other, weighted.service};
         }
@@ -186,9 +357,16 @@
 SteeringDecision placeFlow(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
                            SteeredFlow &flow, SteeringCause cause, TimePoint now)
 {
-    const auto placement = choosePlacement(state, route, key, flow.rejectedBy, now);
+    const auto placement = choosePlacement(state, route, key, flow, now);
+    if (placement.isOverloaded) {
+        state.flows.erase(key);
+        return reset(SteeringCause::Overloaded);
+    }
     if (placement.backend == noBackend) {
         state.flows.erase(key);
+        if (usesRooms(state, route) && isBlind(state, now)) {
+            return drop(SteeringCause::NotReady);
+        }
         // A dropped opening packet is not lost: callers retransmit it after 200 ms and 600 ms.
         const bool mayBecomeReady = !hasInitialReports(state, now)
             || std::any_of(route.services.begin(), route.services.end(),
@@ -198,7 +376,7 @@
         return mayBecomeReady ? drop(SteeringCause::NotReady) : reset(SteeringCause::NoServer);
     }
     flow.holder = placement.backend;
-    ++state.backends[placement.backend].placedFlows;
+    recordPlacement(state.backends[placement.backend], now);
     auto decision = forward(cause, placement.backend, placement.service);
     decision.mayReturnBusy = cause == SteeringCause::Placed;
     return decision;
@@ -218,15 +396,45 @@
     }
     auto excluded = flow.rejectedBy;
     excluded.push_back(busy);
-    const auto other = chooseBackend(state, service, key, excluded, now);
+    const auto *room = roomFor(state, route, service, now);
+    const auto other = room != nullptr ? chooseAfterReturn(state, *room, service, key, excluded, now)
+                                       : chooseBackend(state, service, key, excluded, now);
     const bool isOtherBetter = other != noBackend
         && (busyBackend.report.isFailing
-            || loadOf(state.options, state.backends[other]) < loadOf(state.options, busyBackend));
+            || (room != nullptr
+                    ? currentLoad(state.options, state.backends[other], now)
+                        < currentLoad(state.options, busyBackend, now)
+                    : loadOf(state.options, state.backends[other]) < loadOf(state.options, busyBackend)));
     flow.holder = isOtherBetter ? other : busy;
-    ++state.backends[flow.holder].placedFlows;
+    recordPlacement(state.backends[flow.holder], now);
     return forward(SteeringCause::Moved, flow.holder, service);
 }
 
+// Decides about an opening packet of a route with terms that an agent returned as full. It is offered to one
+// other server whose agent has not refused since its last report: offering it to each in turn would multiply
+// the load while all are full.
+SteeringDecision placeAfterRefusal(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
+                                   SteeredFlow &flow, BackendIndex full, TimePoint now)
+{
+    auto &fullBackend = state.backends[full];
+    const auto service = fullBackend.report.service;
+    fullBackend.hasRefused = true;
+    ++flow.fullReturns;
+    const auto *room = servesRoute(fullBackend, route) ? roomFor(state, route, service, now) : nullptr;
+    const auto left = timeLeft(state.options.room, route.terms, now - flow.openedAt);
+    const bool mayOffer = flow.fullReturns < 2 && room != nullptr && left > Duration::zero()
+        && !isOverloaded(state, *room, route.terms, service, flow, now);
+    const auto other
+        = mayOffer ? chooseAfterReturn(state, *room, service, key, flow.rejectedBy, now) : noBackend;
+    if (other == noBackend) {
+        state.flows.erase(key);
+        return reset(SteeringCause::Overloaded);
+    }
+    flow.holder = other;
+    recordPlacement(state.backends[other], now);
+    return forward(SteeringCause::Moved, other, service);
+}
+
 // Whether the agent has sent its list of flows after the search for this flow started. A server that did not
 // hold the flow then will not get it later: flows never move.
 bool isFilterConclusive(const Backend &backend, const SteeredFlow &flow)
@@ -495,7 +703,7 @@
 
 // Decides about an opening packet. A duplicate follows the first one while the chosen server accepts flows.
 SteeringDecision steerOpening(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
-                              TimePoint now)
+                              std::uint32_t copies, TimePoint now)
 {
     const auto [found, isNew] = state.flows.try_emplace(key);
     auto &flow = found->second;
@@ -503,7 +711,9 @@
         = !isNew && flow.holder != noBackend && now - flow.openedAt < state.options.openingTimeout;
     flow.lastPacketAt = now;
     if (!isDuplicateOpening) {
-        flow = {.lastPacketAt = now, .openedAt = now};
+        // The earlier copies may have reached another balancer, or none.
+        const auto elapsed = usesRooms(state, route) ? openingElapsed(copies, now, now) : Duration::zero();
+        flow = {.lastPacketAt = now, .openedAt = now - elapsed};
         return placeFlow(state, route, key, flow, SteeringCause::Placed, now);
     }
     const auto &holder = state.backends[flow.holder];
@@ -539,6 +749,8 @@
         return "not_held";
     case SteeringCause::Undecided:
         return "undecided";
+    case SteeringCause::Overloaded:
+        return "overloaded";
     case SteeringCause::NotFromCaller:
         return "not_from_caller";
     }
@@ -604,6 +816,10 @@
     backend.report = report;
     backend.reportedAt = now;
     backend.placedFlows = 0;
+    backend.hasRefused = false;
+    backend.backlog = report.waiting
+        + (report.capacity ? report.capacity->queuedOpenings + report.capacity->queuedRequests : 0);
+    backend.backlogAt = now;
 }
 
 void setReportPeriod(SteeringState &state, BackendIndex index, std::chrono::milliseconds period,
@@ -717,26 +933,12 @@
     };
     const auto ranking = rankServers(state, flow, isCandidate);
 
-    struct Best
-    {
-        BackendIndex backend = noBackend;
-        double load = std::numeric_limits<double>::infinity();
-
-        void consider(BackendIndex index, double indexLoad)
-        {
-            if (indexLoad < load) {
-                backend = index;
-                load = indexLoad;
-            }
-        }
-    };
-
     double loadSum = 0;
     std::size_t candidates = 0;
-    Best any;
-    Best anyInZone;
-    Best ranked;
-    Best rankedInZone;
+    Choice any;
+    Choice anyInZone;
+    Choice ranked;
+    Choice rankedInZone;
     const std::size_t count = state.backends.size();
     for (std::size_t i = 0; i < count; ++i) {
         // Starts at another server each time, as a tie-break.
@@ -775,6 +977,77 @@
     return any.backend;
 }
 
+void updateRooms(SteeringState &state, TimePoint now)
+{
+    const bool isRecent
+        = state.roomsUpdatedAt != TimePoint{} && now - state.roomsUpdatedAt < state.options.room.updatePeriod;
+    if (!state.options.usesRooms || isRecent) {
+        return;
+    }
+    state.roomsUpdatedAt = now;
+    for (auto &[service, room] : state.rooms) {
+        room.isRouted = false;
+        room.leastUrgent = 0;
+        beginUpdate(room);
+    }
+    for (const auto &[address, route] : state.table.routes) {
+        if (route.terms == RouteTerms{}) {
+            continue;
+        }
+        for (const auto &weighted : route.services) {
+            auto [found, isNew] = state.rooms.try_emplace(weighted.service);
+            auto &room = found->second;
+            if (isNew) {
+                beginUpdate(room);
+            }
+            room.isRouted = true;
+            room.leastUrgent = std::max(room.leastUrgent, route.terms.priority);
+        }
+    }
+    std::erase_if(state.rooms, [](const auto &entry) { return !entry.second.isRouted; });
+    if (state.rooms.empty()) {
+        return;
+    }
+    for (const auto &[address, route] : state.table.routes) {
+        if (route.terms != RouteTerms{}) {
+            continue;
+        }
+        for (const auto &weighted : route.services) {
+            const auto found = state.rooms.find(weighted.service);
+            if (found != state.rooms.end()) {
+                found->second.leastUrgent = lowestPriority;
+            }
+        }
+    }
+    const auto &options = state.options.room;
+    for (const auto &backend : state.backends) {
+        const auto found = state.rooms.find(backend.report.service);
+        if (found != state.rooms.end() && acceptsFlows(state, backend, found->first, now)) {
+            addServer(found->second, options, roomOf(state.options, backend, now));
+        }
+    }
+    for (auto &[service, room] : state.rooms) {
+        finishUpdate(room, options, state.options.zone, now);
+    }
+}
+
+BackendIndex chooseByRoom(SteeringState &state, const ServiceRoom &room, ServiceId service,
+                          const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy, TimePoint now)
+{
+    const auto zone = zoneForFlow(room, state.options.zone, state.zoneCounter++);
+    const auto best = chooseLeastLoaded(state, flow, now, [&](BackendIndex index, const Backend &backend) {
+        return backend.report.zone == zone && !backend.hasRefused
+            && acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index)
+            && (room.areMostFailing || !backend.report.isFailing);
+    });
+    if (best.backend == noBackend) {
+        return chooseBackend(state, service, flow, rejectedBy, now);
+    }
+    const bool mustWait
+        = best.load > state.options.discoveryLoadLimit && isDiscoveryPending(state, service, now);
+    return mustWait ? noBackend : best.backend;
+}
+
 std::array<BackendIndex, noteQueryCount> noteAgentsFor(const SteeringState &state, const FlowKey &flow,
                                                        TimePoint now)
 {
@@ -806,7 +1079,7 @@
         return segment.rst ? drop(SteeringCause::NoRoute) : reset(SteeringCause::NoRoute);
     }
     if (segment.opens()) {
-        return steerOpening(state, route->second, key, now);
+        return steerOpening(state, route->second, key, segment.acknowledgement, now);
     }
     const auto [found, isNew] = state.flows.try_emplace(key);
     auto &flow = found->second;
@@ -842,6 +1115,7 @@
 {
     auto &backend = state.backends[index];
     backend.report.waiting = std::max(backend.report.waiting, pendingRequests);
+    backend.backlog = std::max(backend.backlog, static_cast<double>(pendingRequests));
 }
 
 SteeringDecision steerReturnedPacket(SteeringState &state, const Segment &segment, BackendIndex from,
@@ -888,6 +1162,9 @@
     if (flow.holder != from) {
         return segment.opens() ? drop(SteeringCause::Moved) : forward(SteeringCause::Searching, flow.holder);
     }
+    if (segment.opens() && reason == ReturnReason::Full && usesRooms(state, route->second)) {
+        return placeAfterRefusal(state, route->second, key, flow, from, now);
+    }
     if (segment.opens() && now - flow.openedAt > state.options.openingRetryLimit) {
         state.flows.erase(found);
         return reset(SteeringCause::NoServer);
