Shares stay at steady load, and other services of a route take what an overloaded one cannot

Change: requests that wait count beyond half a slot's worth in a zone's mean; a zone sends nothing while its load is near the mean of all zones; shares change only once all agents have had time to report. A route's other service takes an opening packet on a free slot before it is refused as overloaded. Tests of returned packets, of stalled and restarted balancers, and of reports without a capacity.

--- a/include/oriolelever/service-room.h
+++ b/include/oriolelever/service-room.h
@@ -37,8 +37,8 @@
     /// Load above which a zone sends new flows to others, as its servers run out of free slots. Above 0.75
     /// other zones' agents report more often.
     double spillLoad = 0.9;
-    /// Waiting requests per slot of a server that do not count as load: on average they wait for half the
-    /// time of an answer. An uneven choice of servers causes such queues at moderate load, too.
+    /// Waiting requests per slot of a zone that do not count as load: on average they wait for half the time
+    /// of an answer. Chance and reports of different ages cause such queues at moderate load, too.
     double tolerableQueue = 0.5;
     /// A zone begins to send flows only to zones whose load is lower by at least this much, and takes its
     /// share back from those whose load is not lower by half of it: callers would gain nothing.
@@ -79,15 +79,17 @@
     std::uint32_t servers = 0; ///< That accept new flows; with 0 the zone has no room.
     double slots = 0;
     double requests = 0; ///< Under way and waiting.
-    double work = 0; ///< Slots in use, and requests beyond the tolerable queue.
+    double used = 0; ///< Slots with a request.
     double queued = 0; ///< Those of `requests` that wait at agents.
     std::chrono::milliseconds longestWait{0};
     Duration oldestReport{0}; ///< Age of the oldest report included.
-    double load = 0; ///< Smoothed `work` per slot.
+    double load = 0; ///< Smoothed.
     double share = 0; ///< Share of the own zone's new flows that goes here; 0 for the own zone.
     double loggedShare = 0; ///< `share` when it was logged last.
     bool hadServers = false; ///< At the previous update.
 
+    /// Slots in use and requests beyond the tolerable queue, per slot; not smoothed.
+    double currentLoad(const RoomOptions &options) const;
     /// Slots without a request, by the smoothed load.
     double room() const;
 };
@@ -106,6 +108,7 @@
     std::uint8_t leastUrgent = 0; ///< Least urgent priority of the service's routes with terms.
     std::uint32_t failingServers = 0; ///< Of those that accept flows.
     bool areMostFailing = false; ///< Leaving out the failing servers could overload the others.
+    bool hadOwnServers = true; ///< The own zone had a server at the previous update.
     bool isRouted = false; ///< A route with terms names the service; set by the owner of the struct.
 };
 
--- a/src/service-room.cc
+++ b/src/service-room.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace oriolelever {
 
@@ -25,7 +26,7 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-void smoothLoads(ServiceRoom &room, double weight)
+void smoothLoads(ServiceRoom &room, const RoomOptions &options, double weight)
 {
     for (auto &zone : room.zones) {
         if (zone.servers == 0) {
@@ -33,7 +34,7 @@
             zone.load = 0;
             continue;
         }
-        const double load = zone.work / std::max(1.0, zone.slots);
+        const double load = zone.currentLoad(options);
         zone.load = zone.hadServers ? zone.load + weight * (load - zone.load) : load;
         zone.hadServers = true;
     }
@@ -68,6 +69,33 @@
     }
 }
 
+// The own zone has servers again. It takes what fits its part of the room at once: the zones that have served
+// its callers may be overloaded, as after a loss of all power.
+void takeBackByRoom(ServiceRoom &room, ZoneId ownZone)
+{
+    double ownRoom = 0;
+    double otherRoom = 0;
+    for (const auto &zone : room.zones) {
+        (zone.zone == ownZone ? ownRoom : otherRoom) += zone.room();
+    }
+    const double factor = ownRoom + otherRoom > 0 ? otherRoom / (ownRoom + otherRoom) : 0;
+    for (auto &zone : room.zones) {
+        zone.share *= factor;
+    }
+}
+
+// The load above which a zone sends flows to others: near the mean of all zones, callers would gain nothing.
+double spillThreshold(const ServiceRoom &room, const RoomOptions &options)
+{
+    double work = 0;
+    double slots = 0;
+    for (const auto &zone : room.zones) {
+        work += zone.servers > 0 ? zone.load * zone.slots : 0;
+        slots += zone.slots;
+    }
+    return std::max(options.spillLoad, work / std::max(1.0, slots) + options.hysteresis / 2);
+}
+
 // Removes the shares of zones without a server that accepts flows, and returns their sum.
 double dropLostShares(ServiceRoom &room, ZoneId ownZone)
 {
@@ -85,6 +113,12 @@
 
 } // namespace
 
+double ZoneRoom::currentLoad(const RoomOptions &options) const
+{
+    const double waiting = std::max(0.0, requests - used - options.tolerableQueue * slots);
+    return (used + waiting) / std::max(1.0, slots);
+}
+
 double ZoneRoom::room() const
 {
     return servers == 0 ? 0 : std::max(0.0, slots * (1 - load));
@@ -96,7 +130,7 @@
         zone.servers = 0;
         zone.slots = 0;
         zone.requests = 0;
-        zone.work = 0;
+        zone.used = 0;
         zone.queued = 0;
         zone.longestWait = {};
         zone.oldestReport = {};
@@ -113,8 +147,7 @@
     zone.slots += server.slots;
     const double requests = server.requests + server.queued;
     zone.requests += requests;
-    zone.work += std::min(requests, server.slots)
-        + std::max(0.0, requests - (1 + options.tolerableQueue) * server.slots);
+    zone.used += std::min(requests, server.slots);
     zone.queued += server.queued;
     zone.longestWait = std::max(zone.longestWait, server.longestWait);
     zone.oldestReport = std::max(zone.oldestReport, server.reportAge);
@@ -141,17 +174,22 @@
         room.isWaitKnown = false;
     }
     const double weight = 1 - std::exp(-seconds(elapsed) / seconds(options.smoothingTime));
-    smoothLoads(room, weight);
+    smoothLoads(room, options, weight);
     const auto &own = findOrAddZone(room, ownZone);
+    const bool hadOwnServers = std::exchange(room.hadOwnServers, own.servers > 0);
     if (own.servers == 0) {
         sendAllElsewhere(room);
         return;
     }
+    if (!hadOwnServers) {
+        takeBackByRoom(room, ownZone);
+    }
     const double ownLoad = own.load;
+    const double threshold = spillThreshold(room, options);
     const double ownSlots = std::max(1.0, own.slots);
     const double periods = seconds(elapsed) / seconds(options.sharePeriod);
     room.recentShare += (1 - std::exp(-periods)) * (remoteShare(room) - room.recentShare);
-    const double demand = own.work / ownSlots / std::max(minOwnShare, 1 - room.recentShare);
+    const double demand = own.currentLoad(options) / std::max(minOwnShare, 1 - room.recentShare);
     room.demand = isFirst ? demand : room.demand + weight * (demand - room.demand);
 
     const double kept = std::pow(1 - options.releaseFraction, periods);
@@ -160,8 +198,8 @@
     // back. Not by `demand`: it counts the flows of other zones here as the own zone's, so that two zones
     // could go on exchanging flows.
     for (auto &zone : room.zones) {
-        const bool isNeeded = ownLoad > options.spillLoad - options.hysteresis / 2
-            && zone.load <= ownLoad - options.hysteresis / 2;
+        const bool isNeeded
+            = ownLoad > threshold - options.hysteresis / 2 && zone.load <= ownLoad - options.hysteresis / 2;
         zone.share *= isNeeded ? 1 : kept;
         zone.share = zone.share < minShare ? 0 : zone.share;
     }
@@ -173,8 +211,8 @@
     // The share by the demand does not overshoot while reports still lack the latest change. The excess of
     // the load itself bounds it, as the demand counts flows of other zones as the own zone's.
     const double current = remoteShare(room);
-    const double byDemand = 1 - options.spillLoad / std::max(room.demand, options.spillLoad) - current;
-    const double byLoad = (1 - current) * (1 - options.spillLoad / std::max(ownLoad, options.spillLoad));
+    const double byDemand = 1 - threshold / std::max(room.demand, threshold) - current;
+    const double byLoad = (1 - current) * (1 - threshold / std::max(ownLoad, threshold));
     const double missing = std::min(byDemand, byLoad);
     if (missing <= 0) {
         return;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -153,8 +153,8 @@
 struct Placement
 {
     BackendIndex backend = noBackend;
-    ServiceId service; ///< Also set if no server was found because the service is overloaded.
-    bool isOverloaded = false;
+    ServiceId service;
+    bool isOverloaded = false; ///< No server was found because the service is overloaded.
 };
 
 // Whether less than half of the slots are in use, so that one more flow does not delay those that the server
@@ -313,8 +313,25 @@
         && !isDiscoveryPending(state, service, now);
 }
 
-// If the selected service has no server, another service of the route takes the flow, but only on a server
-// with free slots: flows may last long, and must not slow down the callers of that service.
+// Looks for a server of another service of the route, but only one with free slots: flows may last long, and
+// must not slow down the callers of that service.
+Placement choosePlacementElsewhere(const SteeringState &state, const VirtualRoute &route, const FlowKey &key,
+                                   const std::vector<BackendIndex> &rejectedBy, ServiceId selected,
+                                   TimePoint now)
+{
+    for (const auto &weighted : route.services) {
+        if (weighted.weight == 0 || weighted.service == selected) {
+            continue;
+        }
+        const auto other = chooseBackend(state, weighted.service, key, rejectedBy, now);
+        if (other != noBackend && hasFreeSlots(state.backends[other])) {
+            return {other, weighted.service};
+        }
+    }
+    return {};
+}
+
+// If the selected service has no server or is overloaded, another service of the route may take the flow.
 Placement choosePlacement(SteeringState &state, const VirtualRoute &route, const FlowKey &key,
                           const SteeredFlow &flow, TimePoint now)
 {
@@ -322,7 +339,9 @@
     const auto selected = selectService(route, state.selectionCounter++);
     const auto *room = roomFor(state, route, selected, now);
     if (room != nullptr && isOverloaded(state, *room, route.terms, selected, flow, now)) {
-        return {.service = selected, .isOverloaded = true};
+        auto placement = choosePlacementElsewhere(state, route, key, rejectedBy, selected, now);
+        placement.isOverloaded = placement.backend == noBackend;
+        return placement;
     }
     const auto best = room != nullptr ? chooseByRoom(state, *room, selected, key, rejectedBy, now)
                                       : chooseBackend(state, selected, key, rejectedBy, now);
@@ -332,16 +351,7 @@
     if (isDiscoveryPending(state, selected, now)) {
         return {};
     }
-    for (const auto &weighted : route.services) {
-        if (weighted.weight == 0 || weighted.service == selected) {
-            continue;
-        }
-        const auto other = chooseBackend(state, weighted.service, key, rejectedBy, now);
-        if (other != noBackend && hasFreeSlots(state.backends[other])) {
-            return {other, weighted.service};
-        }
-    }
-    return {};
+    return choosePlacementElsewhere(state, route, key, rejectedBy, selected, now);
 }
 
 // Whether the server's service is one of the route's.
@@ -424,15 +434,20 @@
     const auto left = timeLeft(state.options.room, route.terms, now - flow.openedAt);
     const bool mayOffer = flow.fullReturns < 2 && room != nullptr && left > Duration::zero()
         && !isOverloaded(state, *room, route.terms, service, flow, now);
-    const auto other
-        = mayOffer ? chooseAfterReturn(state, *room, service, key, flow.rejectedBy, now) : noBackend;
-    if (other == noBackend) {
+    Placement placement;
+    if (mayOffer) {
+        placement = {chooseAfterReturn(state, *room, service, key, flow.rejectedBy, now), service};
+    }
+    if (placement.backend == noBackend && flow.fullReturns < 2) {
+        placement = choosePlacementElsewhere(state, route, key, flow.rejectedBy, service, now);
+    }
+    if (placement.backend == noBackend) {
         state.flows.erase(key);
         return reset(SteeringCause::Overloaded);
     }
-    flow.holder = other;
-    recordPlacement(state.backends[other], now);
-    return forward(SteeringCause::Moved, other, service);
+    flow.holder = placement.backend;
+    recordPlacement(state.backends[flow.holder], now);
+    return forward(SteeringCause::Moved, flow.holder, placement.service);
 }
 
 // Whether the agent has sent its list of flows after the search for this flow started. A server that did not
@@ -981,7 +996,9 @@
 {
     const bool isRecent
         = state.roomsUpdatedAt != TimePoint{} && now - state.roomsUpdatedAt < state.options.room.updatePeriod;
-    if (!state.options.usesRooms || isRecent) {
+    // Until all agents have had time to report after a start or a stall, a zone may only seem to have no
+    // server.
+    if (!state.options.usesRooms || isRecent || !hasInitialReports(state, now)) {
         return;
     }
     state.roomsUpdatedAt = now;
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -57,6 +57,19 @@
               "front-2 refused the flow: no server of the service accepted it (configuration 9)");
 }
 
+TEST(ExplainTest, ARefusalUnderOverloadIsTracedToTheLackOfRoom)
+{
+    const auto explanation = explain(
+        read(
+            R"({"at":5,"node":"front-2","event":"flow_reset","flow":"100.64.0.9:7>198.18.0.2:80","cause":"overloaded","version":9,"opening":true})"),
+        {.flow = "100.64.0.9:7"});
+    EXPECT_EQ(explanation.outcome, "401 refused-not-run");
+    EXPECT_EQ(
+        explanation.cause,
+        "front-2 refused the flow: no server of the service could start its request within the time that "
+        "the caller had left (configuration 9)");
+}
+
 TEST(ExplainTest, AnUndecidedSearchIsTracedToUnreachableAgents)
 {
     const auto explanation = explain(
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -949,6 +949,80 @@
     EXPECT_EQ(third.cause, SteeringCause::NoServer);
 }
 
+// A balancer whose route states terms.
+class TermsTest : public SteeringTest
+{
+public:
+    TermsTest()
+    {
+        state.table.routes[virtualAddress].terms = {.priority = 2, .timeLimit = milliseconds(1500)};
+    }
+
+    // Three servers with so much work, and a pace of 100 requests a second.
+    void reportWork(std::uint16_t queued)
+    {
+        listAgents({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+        for (const auto host : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+            report(host,
+                   {.state = BackendState::Ready,
+                    .slots = 2,
+                    .flows = 2,
+                    .waiting = 2,
+                    .capacity
+                    = ServerCapacity{.answersPerSecond = 100, .concurrency = 2, .queuedOpenings = queued}});
+        }
+    }
+};
+
+// Offering a refused opening packet to each server in turn multiplies the load while all are full.
+TEST_F(TermsTest, AnOpeningThatAgentsReturnAsFullIsOfferedToOneOtherServer)
+{
+    reportWork(50);
+    const auto first = open(1);
+    ASSERT_EQ(first.action, SteeringAction::Forward);
+    const auto second = returnPacket(1, true, first.backend, ReturnReason::Full);
+    EXPECT_EQ(second.action, SteeringAction::Forward);
+    EXPECT_NE(second.backend, first.backend);
+    const auto third = returnPacket(1, true, second.backend, ReturnReason::Full);
+    EXPECT_EQ(third.action, SteeringAction::Reset);
+    EXPECT_EQ(third.cause, SteeringCause::Overloaded);
+    EXPECT_NE(open(2).backend, first.backend) << "Its agent has refused since its last report.";
+}
+
+TEST_F(TermsTest, AnOpeningThatNoServerCanStartInTimeIsRefusedAtOnce)
+{
+    reportWork(150);
+    EXPECT_EQ(open(1).cause, SteeringCause::Overloaded);
+    now += milliseconds(150);
+    EXPECT_EQ(open(2).action, SteeringAction::Forward) << "1.52 s of work, of which 0.15 s are done.";
+    auto copy = packet(3, true);
+    copy.acknowledgement = 1;
+    EXPECT_EQ(steerCallerPacket(state, copy, now).cause, SteeringCause::Overloaded)
+        << "Its caller has waited for 0.2 s already.";
+    now += milliseconds(200);
+    EXPECT_EQ(open(4).action, SteeringAction::Forward) << "The reports are too old.";
+}
+
+TEST_F(TermsTest, AnotherServiceOfTheRouteTakesWhatAnOverloadedOneCannot)
+{
+    state.table.routes[virtualAddress].services.push_back({idOf<ServiceId>("other"), 1});
+    reportWork(150);
+    report("10.0.0.4", {.service = idOf<ServiceId>("other"), .state = BackendState::Ready, .slots = 8});
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        EXPECT_EQ(open(port).action, SteeringAction::Forward);
+    }
+}
+
+// A reset would tell callers that the service is full, although their packets may reach another balancer.
+TEST_F(TermsTest, ABalancerThatHearsNoAgentRefusesNothing)
+{
+    reportWork(0);
+    now += reportTimeout();
+    EXPECT_EQ(open(1).action, SteeringAction::Drop);
+    now += state.options.restartTimeout * 2;
+    EXPECT_EQ(open(1).action, SteeringAction::Drop);
+}
+
 TEST_F(SteeringTest, ASearchThatFoundTheFlowLeavesNothingToTheNextOne)
 {
     listAgents({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
