Under overload, new flows still go to the zone that the shares select

Cause: once the agents of all servers of a zone had refused since their last reports, a flow was placed by the previous rule, which passes three times over the agents and does not see what waits at them. Change: the zone's servers are considered again, without regard to refusals.

--- a/src/steering.cc
+++ b/src/steering.cc
@@ -1052,11 +1052,17 @@
                           const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy, TimePoint now)
 {
     const auto zone = zoneForFlow(room, state.options.zone, state.zoneCounter++);
-    const auto best = chooseLeastLoaded(state, flow, now, [&](BackendIndex index, const Backend &backend) {
-        return backend.report.zone == zone && !backend.hasRefused
-            && acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index)
-            && (room.areMostFailing || !backend.report.isFailing);
-    });
+    const auto chooseInZone = [&](bool avoidsRefusing) {
+        return chooseLeastLoaded(state, flow, now, [&](BackendIndex index, const Backend &backend) {
+            return backend.report.zone == zone && !(avoidsRefusing && backend.hasRefused)
+                && acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index)
+                && (room.areMostFailing || !backend.report.isFailing);
+        });
+    };
+    auto best = chooseInZone(true);
+    if (best.backend == noBackend) {
+        best = chooseInZone(false);
+    }
     if (best.backend == noBackend) {
         return chooseBackend(state, service, flow, rejectedBy, now);
     }
