Flows of callers who gave up without a word no longer count as load

Cause: after a burst agents kept hundreds of flows whose callers were gone, and reported them as open until twice the idle limit was over.

Change: a caller that owes a packet (an acknowledgement, or the first request) for 1.4 s, three unanswered retransmissions of the server, or whose time limit is over, is silent; its flow is left out of the report. A later packet ends that. The flow stays in filters and searches, as the server still holds it. Gauge oriolelever_server_silent_flows. overload-test plays a burst and what follows with 1, 20 and 100 balancers and reports 0.2 and 1 s old; the model is for all tests of load. Ruled out: leaving all flows out of the load, which would place long flows blindly.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -66,6 +66,9 @@
     /// A request that has had no answer for longer no longer counts: its caller has given up, or its answer
     /// was not recognized.
     std::chrono::milliseconds maxRequestTime{10'000};
+    /// A caller that owes a packet for longer is silent, see `isCallerSilent`: three retransmissions of the
+    /// server (after 200, 400 and 800 ms) have gone unanswered.
+    std::chrono::milliseconds callerResponseTimeout{1400};
     ScheduleOptions schedule;
     /// How long a priority that a flow has shown counts, see `isScheduling`. Rare urgent requests arrive at a
     /// server whose queue is full if it is shorter than the pauses between them.
@@ -103,6 +106,10 @@
     TimePoint lastPacketAt{}; ///< Last packet of either end.
     TimePoint openingDeliveredAt{}; ///< First opening packet; valid while `openingUnanswered`.
     TimePoint requestStartedAt{}; ///< First packet of the request; valid while `requestUnanswered`.
+    bool hasRequested = false; ///< The caller has sent payload.
+    /// Since when the caller owes a packet: an acknowledgement of what the server has sent, or the first
+    /// request of the flow. Unset while it owes none.
+    TimePoint callerDueSince{};
 };
 
 /// Record of which agent's server holds a flow, sent by a balancer.
@@ -134,6 +141,7 @@
     std::deque<TimePoint> recentOpenings;
     std::uint32_t waitingFlows = 0; ///< Flows with `requestUnanswered`.
     std::uint32_t endedFlows = 0; ///< Flows with `ended`.
+    std::uint32_t silentFlows = 0; ///< Flows whose caller was silent at the last `countSilentFlows`.
     std::uint32_t expectedRequests = 0; ///< Flows with `firstRequestExpected`.
     /// Flows that were opened within `firstRequestTimeout`, and when; may name flows that are gone.
     std::deque<std::pair<TimePoint, FlowKey>> openedFlows;
@@ -202,6 +210,14 @@
 /// work waits, at intervals well below that time.
 void markOverdueRequests(GateState &state, TimePoint now);
 
+/// Whether the caller of an open flow has given up without a word: it has owed a packet for longer than
+/// `GateOptions::callerResponseTimeout`, or its request has been unanswered for longer than its time limit. A
+/// later packet of the caller ends its silence.
+bool isCallerSilent(const GateOptions &options, const HeldFlow &flow, TimePoint now);
+
+/// Brings `GateState::silentFlows` up to date. Linear in the number of flows.
+void countSilentFlows(GateState &state, TimePoint now);
+
 /// Whether the server has been ejected because it resets flows, see `GateOptions::maxConsecutiveResets`, or
 /// has still to show by one request that it answers again.
 bool isFailing(GateState &state, TimePoint now);
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -57,6 +57,11 @@
                     .Help("Open flows of the backend server")
                     .Register(registry)
                     .Add({}))
+        , silentFlows(prometheus::BuildGauge()
+                          .Name("oriolelever_server_silent_flows")
+                          .Help("Flows of the backend server whose callers have given up without a word")
+                          .Register(registry)
+                          .Add({}))
         , waiting(prometheus::BuildGauge()
                       .Name("oriolelever_server_waiting")
                       .Help("Flows with a request that has no answer yet")
@@ -135,6 +140,7 @@
     prometheus::Counter &dropped;
     prometheus::Counter &malformed;
     prometheus::Gauge &flows;
+    prometheus::Gauge &silentFlows;
     prometheus::Gauge &waiting;
     prometheus::Gauge &pace;
     prometheus::Gauge &concurrency;
@@ -704,7 +710,9 @@
         m_lastExpiry = now;
         expireEntries(m_state, now);
     }
-    m_counters->flows.Set(static_cast<double>(m_state.flows.size() - m_state.endedFlows));
+    m_counters->flows.Set(
+        static_cast<double>(m_state.flows.size() - m_state.endedFlows - m_state.silentFlows));
+    m_counters->silentFlows.Set(m_state.silentFlows);
     m_counters->waiting.Set(m_state.waitingFlows);
     m_counters->heldRequests.Set(static_cast<double>(m_state.schedule.requests));
     m_counters->waitingOpenings.Set(
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -190,6 +190,7 @@
     if (!flow.openingUnanswered) {
         flow.openingDeliveredAt = now;
     }
+    flow.callerDueSince = {};
     flow.openingUnanswered = !flow.halfOpen;
     flow.lastPacketAt = now;
     if (terms != RouteTerms{}) {
@@ -235,6 +236,13 @@
         : GateDecision{.action = GateAction::Queue};
 }
 
+// Records a packet of the caller. It owes the next one if the flow has had no request yet.
+void recordCallerPacket(HeldFlow &flow, const Segment &segment, TimePoint now)
+{
+    flow.hasRequested |= segment.payloadSize > 0;
+    flow.callerDueSince = flow.hasRequested ? TimePoint{} : now;
+}
+
 void startRequest(GateState &state, HeldFlow &flow, TimePoint now)
 {
     clearExpectedRequest(state, flow);
@@ -381,6 +389,26 @@
     }
 }
 
+bool isCallerSilent(const GateOptions &options, const HeldFlow &flow, TimePoint now)
+{
+    if (flow.ended) {
+        return false;
+    }
+    if (flow.requestUnanswered) {
+        // Times in a packet's terms are rounded down by at most the square root of 2.
+        const auto limit = flow.terms.timeLimit * 3 / 2;
+        return limit > std::chrono::milliseconds::zero() && now - flow.requestStartedAt > limit;
+    }
+    return flow.callerDueSince != TimePoint{} && now - flow.callerDueSince > options.callerResponseTimeout;
+}
+
+void countSilentFlows(GateState &state, TimePoint now)
+{
+    state.silentFlows = static_cast<std::uint32_t>(
+        std::count_if(state.flows.begin(), state.flows.end(),
+                      [&](const auto &entry) { return isCallerSilent(state.options, entry.second, now); }));
+}
+
 bool isFailing(GateState &state, TimePoint now)
 {
     if (state.ejections == 0) {
@@ -443,6 +471,7 @@
     flow.openingUnanswered = false;
     flow.lastPacketAt = now;
     flow.lastCallerAcknowledgement = segment.acknowledgement;
+    recordCallerPacket(flow, segment, now);
     if (hasTerms) {
         flow.terms = terms;
     }
@@ -529,6 +558,9 @@
     }
     auto &flow = found == state.flows.end() ? state.flows[key] : found->second;
     flow.lastPacketAt = now;
+    if (segment.syn || segment.fin || segment.payloadSize > 0) {
+        setIfUnset(flow.callerDueSince, now);
+    }
     if (segment.syn && segment.ack) {
         if (flow.openingUnanswered) {
             latencies.opening = now - flow.openingDeliveredAt;
@@ -586,6 +618,7 @@
     state.openedFlows.clear();
     state.waitingFlows = 0;
     state.endedFlows = 0;
+    state.silentFlows = 0;
     state.expectedRequests = 0;
     state.overdueRequests = 0;
     return resets;
@@ -754,6 +787,7 @@
 Report makeReport(GateState &state, std::uint64_t lifetime, TimePoint now, bool withFlows)
 {
     updateCapacity(state, now);
+    countSilentFlows(state, now);
     const bool hasHeartbeat = state.lastHeartbeatAt != TimePoint{};
     std::optional<FlowFilter> heldFlowFilter;
     if (withFlows && (state.hasSeenServerStart || isServerAbsent(state, now))) {
@@ -769,7 +803,7 @@
         .zone = hasHeartbeat ? idOf<ZoneId>(state.lastHeartbeat.zone) : state.options.zone,
         .state = state.serverState,
         .slots = hasHeartbeat ? state.lastHeartbeat.slots : std::uint16_t{1},
-        .flows = static_cast<std::uint32_t>(state.flows.size()) - state.endedFlows,
+        .flows = static_cast<std::uint32_t>(state.flows.size()) - state.endedFlows - state.silentFlows,
         .waiting = pendingRequests(state, now) + static_cast<std::uint32_t>(state.schedule.work.size()),
         .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
         .bornAt = state.lastHeartbeat.startTimeMs,
--- /dev/null
+++ b/test/overload-test.cc
@@ -0,0 +1,82 @@
+// What callers get from a service of several balancers and servers during overload and faults, and
+// afterwards.
+#include <cmath>
+#include <numeric>
+
+#include <gtest/gtest.h>
+
+#include "load-model.h"
+
+namespace oriolelever {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const LoadKind lookup{.terms = {.isRepeatable = true,
+                                .priority = 2,
+                                .timeLimit = milliseconds(2263),
+                                .latencyGoal = milliseconds(200)},
+                      .work = milliseconds(30),
+                      .address = {ipv4Address(0xc6120001), 443}};
+const LoadKind claim{.terms
+                     = {.priority = 1, .timeLimit = milliseconds(2263), .latencyGoal = milliseconds(200)},
+                     .work = milliseconds(39),
+                     .address = {ipv4Address(0xc6120001), 444}};
+
+// Requests at `load` times the capacity of `slots`, a ninth of them claims as two of nine are.
+void addRegisters(LoadModel &model, double load, double slots, milliseconds time)
+{
+    const double perSecond = load * slots / 0.032;
+    model.addLoad(lookup, perSecond * 7 / 9, time);
+    model.addLoad(claim, perSecond * 2 / 9, time);
+}
+
+// Standard deviation of the openings that servers got, relative to their mean.
+double spread(const std::vector<int> &opened)
+{
+    const double mean
+        = std::accumulate(opened.begin(), opened.end(), 0.0) / static_cast<double>(opened.size());
+    double squares = 0;
+    for (const int count : opened) {
+        squares += (count - mean) * (count - mean);
+    }
+    return std::sqrt(squares / static_cast<double>(opened.size())) / mean;
+}
+
+class OverloadTest : public testing::TestWithParam<std::tuple<int, int>>
+{
+};
+
+// Guards against flows of callers who gave up in a burst that count as load for as long as servers keep them:
+// servers with fewer of them got nearly all new flows, and requests were late for the rest of the day.
+TEST_P(OverloadTest, ABurstIsForgottenOnceItHasEnded)
+{
+    const auto [balancers, reportMs] = GetParam();
+    constexpr double slots = 60;
+    LoadModel model({.balancers = static_cast<std::size_t>(balancers),
+                     .servers = 30,
+                     .slots = 2,
+                     .reportPeriod = milliseconds(reportMs),
+                     .kinds = {&lookup, &claim}});
+    addRegisters(model, 0.47, slots, seconds(5));
+    model.run(seconds(6));
+    const double before = spread(model.opened);
+    addRegisters(model, 1.4, slots, seconds(5));
+    model.run(seconds(5));
+    addRegisters(model, 0.47, slots, seconds(10));
+    model.run(seconds(4));
+    const auto atEnd = model.results;
+    model.opened.clear();
+    model.run(seconds(8));
+    EXPECT_LE(model.results[&lookup].late, atEnd.at(&lookup).late);
+    EXPECT_LE(model.results[&claim].late, atEnd.at(&claim).late);
+    EXPECT_LE(spread(model.opened), 1.5 * before);
+}
+
+INSTANTIATE_TEST_SUITE_P(Balancers, OverloadTest,
+                         testing::Values(std::tuple{1, 200}, std::tuple{20, 200}, std::tuple{20, 1000},
+                                         std::tuple{100, 200}));
+
+} // namespace
+} // namespace oriolelever
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -679,6 +679,44 @@
     EXPECT_EQ(report.capacity->openings, 5U);
 }
 
+// Guards against flows of callers who gave up without a word that count as load until they expire, and
+// against a caller with an idle flow that is taken for one of them.
+TEST_F(ServerGateTest, FlowsOfSilentCallersAreNoLoad)
+{
+    makeReady();
+    for (const std::uint16_t port : {1, 2, 3}) {
+        admitOpening(port);
+        acceptOpening(port);
+    }
+    admitData(2); // Answered, and not acknowledged.
+    recordServerPacket(state, serverPacket(2), now);
+    admitData(3); // Answered and acknowledged; the caller keeps the flow.
+    recordServerPacket(state, serverPacket(3), now);
+    auto acknowledgement = callerPacket(false, 3);
+    acknowledgement.payloadSize = 0;
+    admit(state, acknowledgement, service, now);
+    now += state.options.callerResponseTimeout;
+    EXPECT_EQ(makeReport(state, 1, now, false).flows, 3U);
+    now += milliseconds(1);
+    EXPECT_EQ(makeReport(state, 1, now, false).flows, 1U);
+    EXPECT_EQ(state.flows.size(), 3U) << "the server still holds them";
+    admit(state, callerPacket(false, 2), service, now);
+    EXPECT_EQ(makeReport(state, 1, now, false).flows, 2U) << "the caller was only late";
+}
+
+TEST_F(ServerGateTest, ACallerWhoseTimeLimitIsOverNoLongerCounts)
+{
+    makeReady();
+    const RouteTerms terms{.priority = 2, .timeLimit = milliseconds(2000)};
+    admit(state, callerPacket(true, 1), service, now, false, terms);
+    acceptOpening(1);
+    admitData(1);
+    now += terms.timeLimit * 3 / 2;
+    EXPECT_EQ(makeReport(state, 1, now, false).flows, 1U);
+    now += milliseconds(1);
+    EXPECT_EQ(makeReport(state, 1, now, false).flows, 0U);
+}
+
 TEST_F(ServerGateTest, ResetsBetweenAnswersEjectNobody)
 {
     makeReady();
