The queue of opening packets is as long as the server can serve in time

Cause: 64 places at an agent were said to be more than could be served in time. A server of five slots with 30 ms of work starts 150 requests a second: openings were refused as queue_full at an expected wait of 0.4 s with 1.2 to 1.4 s left, 779 of 1,075 logged refusals of a burst. Their callers used up three attempts within 30 ms.

Change: 512 places bound the memory; the expected wait decides before.

--- a/include/oriolelever/request-schedule.h
+++ b/include/oriolelever/request-schedule.h
@@ -38,7 +38,7 @@
 
 struct ScheduleOptions
 {
-    std::size_t maxOpenings = 64; ///< Bounds memory; more could not be served in time.
+    std::size_t maxOpenings = 512; ///< Bounds memory to 150 KB; the expected wait decides before it does.
     std::size_t maxRequests = 256; ///< Held requests of open flows.
     std::size_t maxRequestBytes = 2 << 20; ///< Of all packets of held requests.
     std::size_t maxPacketsPerRequest = 16; ///< Callers have no more of them in flight.
--- a/test/request-schedule-test.cc
+++ b/test/request-schedule-test.cc
@@ -605,6 +605,17 @@
     EXPECT_LT(refusal.remaining, refusal.expectedWait);
 }
 
+// Guards against a bound on the queue's length that refuses what a fast server can start in time.
+TEST_F(RequestScheduleTest, AnOpeningWaitsAsLongAsTheServerCanStartItInTime)
+{
+    constexpr int slots = 5;
+    pace = {.usualWork = milliseconds(32), .answersPerSecond = slots / 0.032};
+    const auto inTime = static_cast<int>(pace.answersPerSecond);
+    for (std::uint16_t port = 1; port <= inTime; ++port) {
+        ASSERT_TRUE(addOpening(port, feed.terms)) << port;
+    }
+}
+
 TEST_F(RequestScheduleTest, ACopyTellsHowLongAnOpeningHasWaitedElsewhere)
 {
     addOpening(1, checkIn.terms);
