Requests that cannot be repeated avoid servers that have reset one

A server that resets at once also looked idle, and got the new flows.

Change: an agent calls its server unreliable for 10 s after a reset (a flag in the report, 0 from earlier versions; log server_unreliable) and returns opening packets of unrepeatable requests as busy; balancers place these at reliable servers unless most are unreliable, and others there only where the load of the rest is higher by one flow a slot. Ruled out: the limit of three resets as the cause alone, since a falling server loses what is under way in any case.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -149,6 +149,7 @@
     TimePoint m_now{}; ///< Time of the current datagram batch; unset between batches.
     TimePoint m_lastFlowList{};
     bool m_wasFailing = false; ///< As the last reports to all balancers stated.
+    bool m_wasUnreliable = false; ///< As reported last.
     TimePoint m_lastProbe{};
     TimePoint m_lastRefusalCheck{}; ///< Of all waiting opening packets.
     std::uint64_t m_loggedLostDatagrams = 0; ///< Lost datagrams that the log has stated.
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -138,6 +138,7 @@
     std::chrono::milliseconds coldLeft{0}; ///< Time until the server is warm; 0 if it is.
     std::uint64_t bornAt = 0; ///< When the server started, Unix time in milliseconds; 0 if unknown.
     bool isFailing = false; ///< The server resets flows instead of answering their requests.
+    bool isUnreliable = false; ///< It has lately reset a request: those that cannot be repeated avoid it.
     std::uint16_t balancers = 0; ///< From which the agent has had a Hello lately.
     DocumentRevisions documents; ///< The latest of those balancers.
     std::optional<ServerCapacity> capacity; ///< Only to balancers whose hello accepts it.
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -85,6 +85,9 @@
     /// How long a failing server gets no new flows; doubles up to `maxEjection` while it goes on failing.
     std::chrono::milliseconds firstEjection{1000};
     std::chrono::milliseconds maxEjection{8000};
+    /// How long a server that has reset a request is unreliable, see `isUnreliable`. Longer than the pauses
+    /// of a server that goes down and up by turns.
+    std::chrono::milliseconds unreliableTime{10'000};
 };
 
 /// A flow of the server.
@@ -148,6 +151,7 @@
     std::uint32_t consecutiveResets = 0; ///< Requests that ended in a reset since the server's last answer.
     std::uint32_t ejections = 0; ///< Since the server's last answer.
     TimePoint ejectedUntil{}; ///< End of the last ejection.
+    TimePoint requestResetAt{}; ///< When the server reset a request last; unset if it has not.
     DocumentRevisions documents; ///< The latest that balancers have stated.
     RequestSchedule schedule; ///< Work that waits until the server is no longer busy.
     std::uint32_t overdueRequests = 0; ///< Flows with `isRequestOverdue`.
@@ -222,6 +226,10 @@
 /// has still to show by one request that it answers again.
 bool isFailing(GateState &state, TimePoint now);
 
+/// Whether the server has reset a request within `GateOptions::unreliableTime`. Requests that cannot be
+/// repeated are lost with such a reset, so that their flows go to other servers while there are any.
+bool isUnreliable(const GateState &state, TimePoint now);
+
 /// The capacity that the agent has learned of its server: pace, concurrency, evidence and usual time of an
 /// answer, all zero if nothing is known. The other fields are unused.
 const ServerCapacity &learnedCapacity(const GateState &state);
--- a/include/oriolelever/service-room.h
+++ b/include/oriolelever/service-room.h
@@ -67,6 +67,7 @@
     double placed = 0; ///< New flows from this balancer since the report.
     double answersPerSecond = 0; ///< Pace; 0 if unknown.
     bool isFailing = false; ///< The server resets flows instead of answering their requests.
+    bool isUnreliable = false; ///< The server has reset a request lately.
     std::chrono::milliseconds longestWait{0}; ///< Of those that wait at the agent.
     Duration reportAge{0};
     Duration reportPeriod{0}; ///< Period that the agent was asked for.
@@ -108,6 +109,8 @@
     std::uint8_t leastUrgent = 0; ///< Least urgent priority of the service's routes with terms.
     std::uint32_t failingServers = 0; ///< Of those that accept flows.
     bool areMostFailing = false; ///< Leaving out the failing servers could overload the others.
+    std::uint32_t unreliableServers = 0; ///< Of those that accept flows.
+    bool areMostUnreliable = false; ///< Leaving out the unreliable servers could overload the others.
     bool hadOwnServers = true; ///< The own zone had a server at the previous update.
     bool isRouted = false; ///< A route with terms names the service; set by the owner of the struct.
 };
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -86,6 +86,9 @@
     PaceOptions pace; ///< Use of the capacity that agents have learned of their servers.
     double requestWeight = 2.0; ///< Load of a running request relative to an open flow.
     double coldWeight = 2.0; ///< Load of a flow on a cold server relative to a warm one.
+    /// Added to the load of an unreliable server, in flows per slot: one that resets its requests at once has
+    /// the least load otherwise, and gets all new flows.
+    double unreliableLoad = 1.0;
     /// Room of the zones decides about new flows of routes that state terms; otherwise, and on all other
     /// routes, `chooseBackend` alone does.
     bool usesRooms = true;
@@ -349,9 +352,11 @@
 
 /// Returns the server for a new flow of a route with terms: in the zone that the shares of `room` select, the
 /// least loaded of those that the flow's key ranks first, or of all if these are loaded far above the zone's
-/// mean. Falls back to `chooseBackend` if the zone has no server for the flow.
-BackendIndex chooseByRoom(SteeringState &state, const ServiceRoom &room, ServiceId service,
-                          const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy, TimePoint now);
+/// mean. Requests that cannot be repeated avoid unreliable servers, see `Report::isUnreliable`, unless most
+/// are. Falls back to `chooseBackend` if the zone has no server for the flow.
+BackendIndex chooseByRoom(SteeringState &state, const ServiceRoom &room, const RouteTerms &terms,
+                          ServiceId service, const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy,
+                          TimePoint now);
 
 /// Returns the agents that are queried for the note of a flow, by preference; the first `noteReplicaCount` of
 /// them keep it. Equal at all balancers that know the same agents. Unused places hold `noBackend`.
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -41,6 +41,7 @@
                                                           "server_suspect",
                                                           "server_probed",
                                                           "server_failing",
+                                                          "server_unreliable",
                                                           "capacity_learned",
                                                           "flows_reset",
                                                           "flows_restored",
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -742,6 +742,13 @@
 
 void GateNode::reportFailing(TimePoint now)
 {
+    const bool unreliable = isUnreliable(m_state, now);
+    if (unreliable != m_wasUnreliable) {
+        m_wasUnreliable = unreliable;
+        m_log.write(now, "server_unreliable", "unreliable", unreliable, "resets", m_state.consecutiveResets,
+                    "for_ms", m_state.options.unreliableTime);
+        sendReports();
+    }
     const bool failing = isFailing(m_state, now);
     if (failing == m_wasFailing) {
         return;
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -30,7 +30,9 @@
 constexpr std::uint8_t unlistedFlag = 1;
 constexpr std::uint8_t wantsFlowsFlag = 2;
 constexpr std::uint8_t acceptsCapacityFlag = 4;
-constexpr std::uint8_t failingFlag = 1; // In the flags of a report's body: `Report::isFailing`.
+// Flags of a report's body.
+constexpr std::uint8_t failingFlag = 1; // `Report::isFailing`.
+constexpr std::uint8_t unreliableFlag = 2; // `Report::isUnreliable`; agents of earlier versions send 0.
 
 std::uint32_t clampedMilliseconds(std::chrono::milliseconds time)
 {
@@ -338,7 +340,8 @@
     write32(body + 23, report.waiting);
     write32(body + 27, clampedMilliseconds(report.coldLeft));
     write64(body + 31, report.bornAt);
-    body[39] = report.isFailing ? failingFlag : 0;
+    body[39] = static_cast<std::uint8_t>((report.isFailing ? failingFlag : 0)
+                                         | (report.isUnreliable ? unreliableFlag : 0));
     write16(body + 40, report.balancers);
     write64(body + 42, report.documents.configuration);
     write64(body + 50, report.documents.evacuations);
@@ -383,6 +386,7 @@
     out.coldLeft = std::chrono::milliseconds(read32(body + 27));
     out.bornAt = read64(body + 31);
     out.isFailing = (body[39] & failingFlag) != 0;
+    out.isUnreliable = (body[39] & unreliableFlag) != 0;
     out.balancers = read16(body + 40);
     out.documents = {.era = read16(bytes.data() + eraTagOffset),
                      .configuration = read64(body + 42),
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -139,6 +139,7 @@
 {
     constexpr std::uint32_t maxDoublings = 8;
     const auto &options = state.options;
+    state.requestResetAt = now;
     ++state.consecutiveResets;
     if (now < state.ejectedUntil
         || (state.ejections == 0 && state.consecutiveResets < options.maxConsecutiveResets)) {
@@ -210,7 +211,8 @@
     if (isOpening(state, key)) {
         return deliverOpening(state, key, terms, now);
     }
-    if (mayReturnBusy && isFailing(state, now)) {
+    const bool isAtRisk = terms != RouteTerms{} && !terms.isRepeatable && isUnreliable(state, now);
+    if (mayReturnBusy && (isAtRisk || isFailing(state, now))) {
         return returnDecision(ReturnReason::Busy);
     }
     const bool scheduling = isScheduling(state, now);
@@ -417,6 +419,11 @@
     return now < state.ejectedUntil || pendingRequests(state, now) > 0;
 }
 
+bool isUnreliable(const GateState &state, TimePoint now)
+{
+    return state.requestResetAt != TimePoint{} && now - state.requestResetAt < state.options.unreliableTime;
+}
+
 const ServerCapacity &learnedCapacity(const GateState &state)
 {
     return state.capacity.estimate;
@@ -655,6 +662,7 @@
     if (isNewStart) {
         state.consecutiveResets = 0;
         state.ejections = 0;
+        state.requestResetAt = {};
         state.priorityShownAt = {};
         state.usualWork = Duration::zero();
         state.hasSeenServerStart = hasHeartbeat || state.lastHeartbeat.sequence == firstHeartbeatSequence
@@ -808,6 +816,7 @@
         .coldLeft = std::max(coldLeft, std::chrono::milliseconds::zero()),
         .bornAt = state.lastHeartbeat.startTimeMs,
         .isFailing = isFailing(state, now),
+        .isUnreliable = isUnreliable(state, now),
         .documents = state.documents,
         .capacity = reportedCapacity(state, now),
         .heldFlowFilter = heldFlowFilter,
--- a/src/service-room.cc
+++ b/src/service-room.cc
@@ -138,6 +138,7 @@
     room.leastWait = Duration::max();
     room.isWaitKnown = true;
     room.failingServers = 0;
+    room.unreliableServers = 0;
 }
 
 void addServer(ServiceRoom &room, const RoomOptions &options, const ServerRoom &server)
@@ -152,6 +153,7 @@
     zone.longestWait = std::max(zone.longestWait, server.longestWait);
     zone.oldestReport = std::max(zone.oldestReport, server.reportAge);
     room.failingServers += server.isFailing ? 1 : 0;
+    room.unreliableServers += server.isUnreliable ? 1 : 0;
     const auto wait = expectedWait(server);
     const bool isRecent
         = seconds(server.reportAge) <= options.maxReportPeriods * seconds(server.reportPeriod);
@@ -169,6 +171,7 @@
         servers += zone.servers;
     }
     room.areMostFailing = 2 * room.failingServers > servers;
+    room.areMostUnreliable = 2 * room.unreliableServers > servers;
     if (room.leastWait == Duration::max() || !room.isWaitKnown) {
         room.leastWait = {};
         room.isWaitKnown = false;
--- a/src/steering-placement.cc
+++ b/src/steering-placement.cc
@@ -115,6 +115,7 @@
                     .requests = static_cast<double>(report.waiting),
                     .placed = static_cast<double>(backend.placedFlows),
                     .isFailing = report.isFailing,
+                    .isUnreliable = report.isUnreliable,
                     .reportAge = now - backend.reportedAt,
                     .reportPeriod = backend.reportPeriod};
     if (report.capacity) {
@@ -171,12 +172,13 @@
 double currentLoad(const SteeringOptions &options, const Backend &backend, TimePoint now)
 {
     const auto &report = backend.report;
+    const double risk = report.isUnreliable ? options.unreliableLoad : 0;
     if (!report.capacity || !(report.capacity->answersPerSecond > 0)) {
-        return loadOf(options, backend);
+        return loadOf(options, backend) + risk;
     }
     const double requests = backlogOf(backend, now) - report.waiting;
     const double correction = options.requestWeight * requests - backend.placedFlows;
-    return std::max(0.0, loadOf(options, backend) + correction / effectiveSlots(backend));
+    return std::max(0.0, loadOf(options, backend) + correction / effectiveSlots(backend)) + risk;
 }
 
 // Chooses a server from those that `isCandidate` accepts, in one pass: the least loaded of those that the
@@ -214,17 +216,24 @@
     return ranked.load <= acceptable ? ranked : any;
 }
 
+// Whether a flow of the route should not be placed at the server, as its requests cannot be repeated and the
+// server may reset them.
+bool isRisky(const ServiceRoom &room, const RouteTerms &terms, const Backend &backend)
+{
+    return backend.report.isUnreliable && !terms.isRepeatable && !room.areMostUnreliable;
+}
+
 // Chooses a server for an opening packet that the agent of another one has returned, since its caller would
 // have to wait there. The own zone is left only for a server whose load is clearly lower.
-BackendIndex chooseAfterReturn(const SteeringState &state, const ServiceRoom &room, ServiceId service,
-                               const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy,
-                               TimePoint now)
+BackendIndex chooseAfterReturn(const SteeringState &state, const ServiceRoom &room, const RouteTerms &terms,
+                               ServiceId service, const FlowKey &flow,
+                               const std::vector<BackendIndex> &rejectedBy, TimePoint now)
 {
     const auto chooseIn = [&](bool ownZone) {
         return chooseLeastLoaded(state, flow, now, [&](BackendIndex index, const Backend &backend) {
             return (backend.report.zone == state.options.zone) == ownZone && !backend.hasRefused
                 && acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index)
-                && (room.areMostFailing || !backend.report.isFailing);
+                && (room.areMostFailing || !backend.report.isFailing) && !isRisky(room, terms, backend);
         });
     };
     const auto own = chooseIn(true);
@@ -280,8 +289,9 @@
         placement.isOverloaded = placement.backend == noBackend;
         return placement;
     }
-    const auto best = room != nullptr ? chooseByRoom(state, *room, selected, key, rejectedBy, now)
-                                      : chooseBackend(state, selected, key, rejectedBy, now);
+    const auto best = room != nullptr
+        ? chooseByRoom(state, *room, route.terms, selected, key, rejectedBy, now)
+        : chooseBackend(state, selected, key, rejectedBy, now);
     if (best != noBackend) {
         return {best, selected};
     }
@@ -382,10 +392,11 @@
     auto excluded = flow.rejectedBy;
     excluded.push_back(busy);
     const auto *room = roomFor(state, route, service, now);
-    const auto other = room != nullptr ? chooseAfterReturn(state, *room, service, key, excluded, now)
-                                       : chooseBackend(state, service, key, excluded, now);
+    const auto other = room != nullptr
+        ? chooseAfterReturn(state, *room, route.terms, service, key, excluded, now)
+        : chooseBackend(state, service, key, excluded, now);
     const bool isOtherBetter = other != noBackend
-        && (busyBackend.report.isFailing
+        && (busyBackend.report.isFailing || (room != nullptr && isRisky(*room, route.terms, busyBackend))
             || (room != nullptr
                     ? currentLoad(state.options, state.backends[other], now)
                         < currentLoad(state.options, busyBackend, now)
@@ -411,7 +422,8 @@
         && !isOverloaded(state, *room, route.terms, service, flow, now);
     Placement placement;
     if (mayOffer) {
-        placement = {chooseAfterReturn(state, *room, service, key, flow.rejectedBy, now), service};
+        placement
+            = {chooseAfterReturn(state, *room, route.terms, service, key, flow.rejectedBy, now), service};
     }
     if (placement.backend == noBackend && flow.fullReturns < 2) {
         placement = choosePlacementElsewhere(state, route, key, flow.rejectedBy, service, now);
@@ -569,20 +581,26 @@
     }
 }
 
-BackendIndex chooseByRoom(SteeringState &state, const ServiceRoom &room, ServiceId service,
-                          const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy, TimePoint now)
+BackendIndex chooseByRoom(SteeringState &state, const ServiceRoom &room, const RouteTerms &terms,
+                          ServiceId service, const FlowKey &flow, const std::vector<BackendIndex> &rejectedBy,
+                          TimePoint now)
 {
     const auto zone = zoneForFlow(room, state.options.zone, state.zoneCounter++);
-    const auto chooseInZone = [&](bool avoidsRefusing) {
+    const auto chooseInZone = [&](bool avoidsRefusing, bool avoidsRisk) {
         return chooseLeastLoaded(state, flow, now, [&](BackendIndex index, const Backend &backend) {
             return backend.report.zone == zone && !(avoidsRefusing && backend.hasRefused)
                 && acceptsFlows(state, backend, service, now) && !contains(rejectedBy, index)
-                && (room.areMostFailing || !backend.report.isFailing);
+                && (room.areMostFailing || !backend.report.isFailing)
+                && !(avoidsRisk && isRisky(room, terms, backend));
         });
     };
-    auto best = chooseInZone(true);
+    // A reliable server that is full may still have the request served; a risky one may lose it.
+    auto best = chooseInZone(true, true);
+    if (best.backend == noBackend) {
+        best = chooseInZone(false, true);
+    }
     if (best.backend == noBackend) {
-        best = chooseInZone(false);
+        best = chooseInZone(false, false);
     }
     if (best.backend == noBackend) {
         return chooseBackend(state, service, flow, rejectedBy, now);
--- a/test/overload-test.cc
+++ b/test/overload-test.cc
@@ -78,5 +78,26 @@
                          testing::Values(std::tuple{1, 200}, std::tuple{20, 200}, std::tuple{20, 1000},
                                          std::tuple{100, 200}));
 
+// Guards against claims that are lost at servers that go down and up by turns: the load balancer used them
+// again as soon as they had answered, and learned of each fall from three more lost requests.
+TEST(FlappingServersTest, LoseFewRequestsThatCannotBeRepeated)
+{
+    constexpr std::size_t flapping = 5;
+    constexpr std::uint16_t slotCount = 2;
+    constexpr double slots = 60;
+    LoadModel model({.balancers = 10, .servers = 30, .slots = slotCount, .kinds = {&lookup, &claim}});
+    addRegisters(model, 0.5, slots, seconds(10));
+    for (int second = 0; second < 8; ++second) {
+        for (std::size_t server = 0; server < flapping; ++server) {
+            model.setResetting(server, second % 2 == 0);
+        }
+        model.run(seconds(1));
+    }
+    model.run(seconds(6));
+    // What a server may have at work when it falls for the first time.
+    EXPECT_LE(model.results[&claim].unserved(), static_cast<int>(slotCount * flapping));
+    EXPECT_EQ(model.results[&lookup].unserved(), 0);
+}
+
 } // namespace
 } // namespace oriolelever
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -46,6 +46,7 @@
                         .coldLeft = std::chrono::milliseconds(1900),
                         .bornAt = 1'700'000'000'000,
                         .isFailing = true,
+                        .isUnreliable = true,
                         .balancers = 59,
                         .documents = {.era = 3, .configuration = 7, .evacuations = 80'000'000'000}};
     const auto size = encodeReport(buffer, report);
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -679,6 +679,36 @@
     EXPECT_EQ(report.capacity->openings, 5U);
 }
 
+// Guards against requests that cannot be repeated at a server that goes down and up by turns.
+TEST_F(ServerGateTest, AServerThatHasResetARequestIsUnreliableForAWhile)
+{
+    makeReady();
+    const RouteTerms unrepeatable{.priority = 1, .latencyGoal = milliseconds(200)};
+    const RouteTerms repeatable{.isRepeatable = true, .priority = 2, .latencyGoal = milliseconds(200)};
+    admitOpening(1);
+    acceptOpening(1);
+    admitData(1);
+    auto reset = serverPacket(1);
+    reset.rst = true;
+    recordServerPacket(state, reset, now);
+    EXPECT_TRUE(makeReport(state, 1, now, false).isUnreliable);
+    EXPECT_EQ(admit(state, callerPacket(true, 2), service, now, true, unrepeatable).reason,
+              ReturnReason::Busy);
+    EXPECT_EQ(admit(state, callerPacket(true, 2), service, now, false, unrepeatable).action,
+              GateAction::Deliver)
+        << "no other server takes it";
+    EXPECT_EQ(admit(state, callerPacket(true, 3), service, now, true, repeatable).action,
+              GateAction::Deliver);
+    acceptOpening(3);
+    admitData(3);
+    recordServerPacket(state, serverPacket(3), now);
+    EXPECT_TRUE(isUnreliable(state, now)) << "an answer does not show that it stays up";
+    now += state.options.unreliableTime;
+    EXPECT_FALSE(isUnreliable(state, now));
+    EXPECT_EQ(admit(state, callerPacket(true, 4), service, now, true, unrepeatable).action,
+              GateAction::Deliver);
+}
+
 // Guards against flows of callers who gave up without a word that count as load until they expire, and
 // against a caller with an idle flow that is taken for one of them.
 TEST_F(ServerGateTest, FlowsOfSilentCallersAreNoLoad)
