--- a/include/oriolelever/request-schedule.h
+++ b/include/oriolelever/request-schedule.h
@@ -49,6 +49,8 @@
     /// long. Below the shortest latency target of 100 ms, so that a caller in an ordinary queue is served in
     /// time.
     std::chrono::milliseconds overloadWait{80};
+    bool servesNewestFirst = true; ///< While work waits that is more than the server can answer in time.
+    bool countsCallerStarts = true; ///< For the fair share of callers.
     std::chrono::milliseconds openingPatience{1400}; ///< After which a caller gives up an opening packet.
     /// From an agent to a caller and back, with a reserve for the relays: until the first request of an
     /// opened flow arrives, and from a request's start at the caller to its answer there.
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -84,7 +84,8 @@
     /// being discovered.
     double discoveryLoadLimit = 4.0;
     PaceOptions pace; ///< Use of the capacity that agents have learned of their servers.
-    double requestWeight = 2.0; ///< Load of a running request relative to an open flow.
+    double flowWeight = 1.0; ///< Load of an open flow.
+    double requestWeight = 2.0; ///< Load of a running request, beside that of its flow.
     double coldWeight = 2.0; ///< Load of a flow on a cold server relative to a warm one.
     /// Added to the load of an unreliable server, in flows per slot: one that resets its requests at once has
     /// the least load otherwise, and gets all new flows.
@@ -92,6 +93,10 @@
     /// Room of the zones decides about new flows of routes that state terms; otherwise, and on all other
     /// routes, `chooseBackend` alone does.
     bool usesRooms = true;
+    bool prefersRankedServers = true; ///< Those that a flow's key ranks first, see `rankedServerCount`.
+    bool offersToSecondServer = true; ///< A busy server may return an opening packet once.
+    bool sendsNotes = true; ///< To `noteAgentsFor`, of the holders of flows.
+    bool requestsFlowFilters = true; ///< From agents, during searches.
     RoomOptions room;
 };
 
--- a/src/request-schedule.cc
+++ b/src/request-schedule.cc
@@ -89,10 +89,11 @@
 bool isNewestFirst(const RequestSchedule &schedule, const ScheduleOptions &options, const SchedulePace &pace,
                    TimePoint now)
 {
-    return std::any_of(schedule.work.begin(), schedule.work.end(), [&](const WaitingWork &work) {
-        return now - work.queuedAt >= options.overloadWait && !work.isAbandoned
-            && slackToLimit(work, options, pace, now) >= Duration::zero();
-    });
+    return options.servesNewestFirst
+        && std::any_of(schedule.work.begin(), schedule.work.end(), [&](const WaitingWork &work) {
+               return now - work.queuedAt >= options.overloadWait && !work.isAbandoned
+                   && slackToLimit(work, options, pace, now) >= Duration::zero();
+           });
 }
 
 Rank rankOf(const RequestSchedule &schedule, const ScheduleOptions &options, const SchedulePace &pace,
@@ -132,6 +133,9 @@
                   TimePoint now)
 {
     const auto &oldest = schedule.work.front();
+    if (!options.servesNewestFirst) {
+        return false;
+    }
     return oldest.terms.latencyGoal > milliseconds::zero()
         ? slackToGoal(oldest, options, pace, now) < Duration::zero()
         : now - oldest.queuedAt >= options.overloadWait;
@@ -413,7 +417,9 @@
         }
     }
     out.work = take(schedule, next);
-    countStart(schedule, out.work.flow.caller.address, now);
+    if (options.countsCallerStarts) {
+        countStart(schedule, out.work.flow.caller.address, now);
+    }
     return true;
 }
 
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -367,7 +367,7 @@
     }
     encodePeerHeader(message, header);
     m_agentSocket.send(message, {m_state.backends[decision.backend].host, m_options.agentPort});
-    if (decision.mustSendNotes) {
+    if (decision.mustSendNotes && m_state.options.sendsNotes) {
         sendNotes(flowFromCaller(segment), m_state.backends[decision.backend].host);
     }
 }
--- a/src/steering-placement.cc
+++ b/src/steering-placement.cc
@@ -177,7 +177,7 @@
         return loadOf(options, backend) + risk;
     }
     const double requests = backlogOf(backend, now) - report.waiting;
-    const double correction = options.requestWeight * requests - backend.placedFlows;
+    const double correction = options.requestWeight * requests - options.flowWeight * backend.placedFlows;
     return std::max(0.0, loadOf(options, backend) + correction / effectiveSlots(backend)) + risk;
 }
 
@@ -213,7 +213,7 @@
     }
     const double meanLoad = candidates == 0 ? 0 : loadSum / static_cast<double>(candidates);
     const double acceptable = meanLoad * state.options.zoneLoadFactor + state.options.zoneLoadOffset;
-    return ranked.load <= acceptable ? ranked : any;
+    return state.options.prefersRankedServers && ranked.load <= acceptable ? ranked : any;
 }
 
 // Whether a flow of the route should not be placed at the server, as its requests cannot be repeated and the
@@ -373,7 +373,7 @@
     flow.holder = placement.backend;
     recordPlacement(state.backends[placement.backend], now);
     auto decision = forward(cause, placement.backend, placement.service);
-    decision.mayReturnBusy = cause == SteeringCause::Placed;
+    decision.mayReturnBusy = cause == SteeringCause::Placed && state.options.offersToSecondServer;
     return decision;
 }
 
@@ -449,7 +449,7 @@
 
 double loadOf(const SteeringOptions &options, const Backend &backend)
 {
-    const double flows = backend.report.flows + backend.placedFlows;
+    const double flows = options.flowWeight * (backend.report.flows + backend.placedFlows);
     const double load = (flows + options.requestWeight * backend.report.waiting) / effectiveSlots(backend);
     return backend.report.coldLeft > std::chrono::milliseconds::zero() ? load * options.coldWeight : load;
 }
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -418,8 +418,10 @@
 
 bool needsFlowFilters(const SteeringState &state, TimePoint now)
 {
-    return !state.unresolvedFlows.empty()
-        || (state.lastOfferAt != TimePoint{} && now - state.lastOfferAt < state.options.flowFilterLifetime);
+    return state.options.requestsFlowFilters
+        && (!state.unresolvedFlows.empty()
+            || (state.lastOfferAt != TimePoint{}
+                && now - state.lastOfferAt < state.options.flowFilterLifetime));
 }
 
 bool lacksFlowFilter(const SteeringState &state, const Backend &backend, TimePoint now)
