Servers of several slots get more work at a time under overload

With the order on, a server got slots plus one requests and one opened flow beyond, so that of five slots some stood free while the next request was on its way. At full load the missing twentieth of the capacity makes all callers wait.

Change: half as many requests as slots beyond the slots, and as many opened flows beyond these; unchanged for two slots.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -199,6 +199,10 @@
 /// Requests that the server answers well at a time.
 std::uint32_t concurrencyLimit(const GateState &state);
 
+/// Requests that the server may have at a time while `isScheduling`: `concurrencyLimit` and half as many
+/// again, so that it is never idle between an answer and the next request.
+std::uint32_t workLimit(const GateState &state);
+
 /// How fast the server answers; zero if it has not answered for `GateOptions::paceRetention`.
 SchedulePace currentPace(const GateState &state, TimePoint now);
 
@@ -206,8 +210,8 @@
 /// held, and the server gets no more work than it can start.
 bool isScheduling(const GateState &state, TimePoint now);
 
-/// Whether the server has as much work as it may get: `concurrencyLimit` and one request, so that it is never
-/// idle between two answers, while `isScheduling`; `GateOptions::busyRequestsPerSlot` otherwise.
+/// Whether the server has as much work as it may get: `workLimit` while `isScheduling`;
+/// `GateOptions::busyRequestsPerSlot` otherwise.
 bool isBusy(GateState &state, TimePoint now);
 
 /// Marks requests that have been with the server for too long, see `GateOptions::overdueTime`. Call it while
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -365,7 +365,7 @@
         m_log.write(m_now, "request_held", "flow", flowText(key.caller, key.service), "balancer",
                     toString(balancer), "priority", terms.priority, "goal_ms", terms.latencyGoal,
                     "time_limit_ms", terms.timeLimit, "waiting", pendingRequests(m_state, m_now), "limit",
-                    concurrencyLimit(m_state) + 1, "held", m_state.schedule.requests, "queued",
+                    workLimit(m_state), "held", m_state.schedule.requests, "queued",
                     m_state.schedule.work.size() - m_state.schedule.requests);
     }
     if (outcome != HeldPacketOutcome::NoSpace) {
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -60,8 +60,13 @@
 
 // Round trips from an opening packet's delivery after which the first request is no longer expected.
 constexpr int maxRoundTripsToRequest = 3;
-// Opened flows beyond the limit of running requests, so that a slot does not stay free for a round trip.
-constexpr std::uint32_t expectedBeyondLimit = 1;
+
+// Requests that a server may have beyond its slots, and opened flows beyond these, so that no slot stays free
+// while a request is on its way: the more slots there are, the more of them end at about the same time.
+std::uint32_t workReserve(std::uint32_t slots)
+{
+    return (slots + 1) / 2;
+}
 
 // Requests with which a server is busy whose flows show a single priority, or none.
 std::uint32_t busyRequests(const GateState &state)
@@ -343,6 +348,11 @@
     return std::max<std::uint32_t>(1, state.lastHeartbeat.slots);
 }
 
+std::uint32_t workLimit(const GateState &state)
+{
+    return concurrencyLimit(state) + workReserve(concurrencyLimit(state));
+}
+
 SchedulePace currentPace(const GateState &state, TimePoint now)
 {
     if (state.usualWork <= Duration::zero() || now - state.usualWorkAt > state.options.paceRetention) {
@@ -375,8 +385,8 @@
                                       [&](const auto &opened) { return opened.first >= expectedSince; });
     const auto expected = std::min(state.expectedRequests, static_cast<std::uint32_t>(recent));
     const auto running = state.waitingFlows - std::min(state.waitingFlows, state.overdueRequests);
-    const auto limit = concurrencyLimit(state) + 1;
-    return running >= limit || running + expected >= limit + expectedBeyondLimit;
+    const auto limit = workLimit(state);
+    return running >= limit || running + expected >= limit + workReserve(concurrencyLimit(state));
 }
 
 void markOverdueRequests(GateState &state, TimePoint now)
--- a/test/overload-test.cc
+++ b/test/overload-test.cc
@@ -78,6 +78,22 @@
                          testing::Values(std::tuple{1, 200}, std::tuple{20, 200}, std::tuple{20, 1000},
                                          std::tuple{100, 200}));
 
+// Guards against slots that stay free under overload while the next request is on its way: where the demand
+// is what the servers can just do, requests piled up and ended unserved.
+TEST(FullLoadTest, ServersOfSeveralSlotsAreKeptBusy)
+{
+    constexpr double slots = 35;
+    LoadModel model({.balancers = 2, .servers = 7, .slots = 5, .kinds = {&lookup, &claim}});
+    addRegisters(model, 0.5, slots, seconds(2));
+    model.run(seconds(3));
+    model.results.clear();
+    addRegisters(model, 0.97, slots, seconds(10));
+    model.run(seconds(14));
+    const auto &result = model.results[&lookup];
+    EXPECT_GE(result.inTime, result.sent * 99 / 100);
+    EXPECT_EQ(result.unserved(), 0);
+}
+
 // Guards against claims that are lost at servers that go down and up by turns: the load balancer used them
 // again as soon as they had answered, and learned of each fall from three more lost requests.
 TEST(FlappingServersTest, LoseFewRequestsThatCannotBeRepeated)
