--- a/src/front.cc
+++ b/src/front.cc
@@ -398,6 +398,18 @@
     response.done();
 }
 
+// Ends a request whose answer goes on, ends or breaks off before it has begun, so that its caller does not
+// wait for the rest; returns whether it did.
+static bool rejectUnbegun(Front &front, RequestId request, const PendingRequest &pending)
+{
+    if (pending.chunked || pending.knownLength) {
+        return false;
+    }
+    constexpr std::uint16_t badGateway = 502;
+    front.answer(request, {.status = badGateway, .close = true});
+    return true;
+}
+
 void Front::beginAnswer(RequestId request, const CallerAnswer &head)
 {
     auto *const pending = m_state->find(request);
@@ -426,6 +438,9 @@
     if (pending == nullptr) {
         return;
     }
+    if (rejectUnbegun(*this, request, *pending)) {
+        return;
+    }
     auto notify = [written = std::move(written)](const asio::error_code &error) {
         if (!error) {
             written();
@@ -446,6 +461,9 @@
     if (pending == nullptr) {
         return;
     }
+    if (rejectUnbegun(*this, request, *pending)) {
+        return;
+    }
     auto removed = std::move(*pending);
     m_state->removeRequest(request);
     if (removed.chunked) {
@@ -461,6 +479,9 @@
     if (pending == nullptr) {
         return;
     }
+    if (rejectUnbegun(*this, request, *pending)) {
+        return;
+    }
     auto removed = std::move(*pending);
     m_state->removeRequest(request);
     // RESTinio closes the connection if a write notificator throws.
