Gauge of a server's flows is taken from a fresh count

Cause: reading the change again: the gauge subtracted the silent flows counted at the last report, which may be more than the flows that are left, and would wrap.

Change: counted at each tick before the gauges; doc comments.

Result: server-gate-test 49, gate-path-test 20 tests passed.

--- a/include/oriolelever/mechanisms.h
+++ b/include/oriolelever/mechanisms.h
@@ -24,9 +24,10 @@
     std::chrono::milliseconds flowListPeriod{2000}; ///< Between two lists of a server's flows.
 };
 
+/// A switch.
 struct Mechanism
 {
-    std::string_view name;
+    std::string_view name; ///< As `--without` takes it.
     void (*disable)(DecisionOptions &options) = nullptr;
 };
 
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -144,7 +144,8 @@
     std::deque<TimePoint> recentOpenings;
     std::uint32_t waitingFlows = 0; ///< Flows with `requestUnanswered`.
     std::uint32_t endedFlows = 0; ///< Flows with `ended`.
-    std::uint32_t silentFlows = 0; ///< Flows whose caller was silent at the last `countSilentFlows`.
+    std::uint32_t silentFlows
+        = 0; ///< Flows whose caller was silent at the last `countSilentFlows`; may be old.
     std::uint32_t expectedRequests = 0; ///< Flows with `firstRequestExpected`.
     /// Flows that were opened within `firstRequestTimeout`, and when; may name flows that are gone.
     std::deque<std::pair<TimePoint, FlowKey>> openedFlows;
@@ -220,7 +221,7 @@
 
 /// Whether the caller of an open flow has given up without a word: it has owed a packet for longer than
 /// `GateOptions::callerResponseTimeout`, or its request has been unanswered for longer than its time limit. A
-/// later packet of the caller ends its silence.
+/// packet of a caller that owed one ends its silence.
 bool isCallerSilent(const GateOptions &options, const HeldFlow &flow, TimePoint now);
 
 /// Brings `GateState::silentFlows` up to date. Linear in the number of flows.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -710,6 +710,7 @@
         m_lastExpiry = now;
         expireEntries(m_state, now);
     }
+    countSilentFlows(m_state, now);
     m_counters->flows.Set(
         static_cast<double>(m_state.flows.size() - m_state.endedFlows - m_state.silentFlows));
     m_counters->silentFlows.Set(m_state.silentFlows);
