--- a/test/overload-test.cc
+++ b/test/overload-test.cc
@@ -24,7 +24,7 @@
                      .work = milliseconds(39),
                      .address = {ipv4Address(0xc6120001), 444}};
 
-// Requests at `load` times the capacity of `slots`, a ninth of them claims as two of nine are.
+// Requests at `load` times the capacity of `slots`; two of nine are claims.
 void addRegisters(LoadModel &model, double load, double slots, milliseconds time)
 {
     const double perSecond = load * slots / 0.032;
