Values read from the store are moved to their users, not copied

Cause: a configuration of 1,680 routes is 270 kB of JSON and 2 MB once it is parsed. Its way from the answer to the routing table made five copies of that: the pages' arrays, the value of each object, the answer, and the follower's map, which kept one for good. Of a balancer with 0.038 cores each copy took tens of milliseconds after a start, and the peak of its memory was 11.3 MB.

--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -23,6 +23,10 @@
     std::chrono::milliseconds maxRetryDelay{600};
     /// Replaces `maxRetryDelay` until the first list: a process without the objects cannot work.
     std::chrono::milliseconds maxFirstListDelay{1200};
+    /// Keeps the objects' values for later calls of `ObjectFollower::Events::changed`; without, only objects
+    /// that have changed since the last call have one, and the values of the others are null. Values of a
+    /// megabyte take several times as much once they are parsed.
+    bool keepsValues = true;
 };
 
 /// Returns the delay before the next attempt after `failures` consecutive failures: exponential up to
--- a/include/oriolelever/platform.h
+++ b/include/oriolelever/platform.h
@@ -84,11 +84,16 @@
     }
 
     /// The value; the answer must hold one.
-    const T &value() const
+    const T &value() const &
     {
         return std::get<T>(m_state);
     }
 
+    T &&value() &&
+    {
+        return std::get<T>(std::move(m_state));
+    }
+
     /// The error; the answer must hold one.
     const Error &error() const
     {
@@ -108,9 +113,9 @@
     std::variant<T, Error> m_state;
 };
 
-/// Receives the answer of an asynchronous call.
+/// Receives the answer of an asynchronous call, which it may move from.
 template<typename T>
-using Done = std::function<void(const Answer<T> &)>;
+using Done = std::function<void(Answer<T>)>;
 
 /// Asynchronous access to objects. Each `done` is called once, on the control thread, never before the
 /// function that it was passed to returns.
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -61,7 +61,7 @@
     void list()
     {
         callStart = std::chrono::steady_clock::now();
-        api.list(options.kind, [self = shared_from_this()](const Answer<ObjectList> &answer) {
+        api.list(options.kind, [self = shared_from_this()](Answer<ObjectList> answer) {
             if (self->isStopped) {
                 return;
             }
@@ -70,24 +70,36 @@
                 return;
             }
             self->handleSuccess();
-            self->applyList(answer.value(), ChangeSource::List);
+            self->applyList(std::move(answer).value(), ChangeSource::List);
             self->hasListed = true;
             self->watch();
         });
     }
 
-    void applyList(const ObjectList &list, ChangeSource listSource)
+    void applyList(ObjectList list, ChangeSource listSource)
     {
         source = listSource;
         if (events.eraListed && hasListed && list.position.era != position.era) {
             events.eraListed(describeEra(list));
         }
         objects.clear();
-        for (const auto &object : list.objects) {
-            objects.insert_or_assign(object.name, object);
+        for (auto &object : list.objects) {
+            auto name = object.name;
+            objects.insert_or_assign(std::move(name), std::move(object));
         }
         position = list.position;
+        notifyChange();
+    }
+
+    void notifyChange()
+    {
         events.changed(objects);
+        if (options.keepsValues) {
+            return;
+        }
+        for (auto &[name, object] : objects) {
+            object.value = nullptr;
+        }
     }
 
     EraListing describeEra(const ObjectList &list) const
@@ -111,7 +123,7 @@
         }
         isCatchingUp = true;
         catchUpStart = std::chrono::steady_clock::now();
-        api.list(options.kind, [self = shared_from_this(), later](const Answer<ObjectList> &answer) {
+        api.list(options.kind, [self = shared_from_this(), later](Answer<ObjectList> answer) {
             self->isCatchingUp = false;
             if (!answer) {
                 self->catchUpNotBefore = std::chrono::steady_clock::now() + self->options.maxRetryDelay;
@@ -122,7 +134,7 @@
                 return;
             }
             self->lastChange = std::max(self->lastChange, later);
-            self->applyList(answer.value(), ChangeSource::Peer);
+            self->applyList(std::move(answer).value(), ChangeSource::Peer);
         });
     }
 
@@ -134,7 +146,7 @@
         usedTimeout = failures > 0 ? std::chrono::milliseconds::zero() : options.watchTimeout;
         callStart = std::chrono::steady_clock::now();
         api.watch({options.kind}, position, watchWait(failures, usualWait),
-                  [self = shared_from_this(), after = position](const Answer<WatchBatch> &answer) {
+                  [self = shared_from_this(), after = position](Answer<WatchBatch> answer) {
                       if (self->isStopped) {
                           return;
                       }
@@ -148,21 +160,22 @@
                           self->watch();
                           return;
                       }
-                      self->applyBatch(answer.value());
+                      self->applyBatch(std::move(answer).value());
                   });
     }
 
-    void applyBatch(const WatchBatch &batch)
+    void applyBatch(WatchBatch batch)
     {
         if (batch.restart || batch.position < position) {
             list();
             return;
         }
-        for (const auto &event : batch.events) {
+        for (auto &event : batch.events) {
+            auto name = event.object.name;
             if (event.deleted) {
-                objects.erase(event.object.name);
+                objects.erase(name);
             } else {
-                objects.insert_or_assign(event.object.name, event.object);
+                objects.insert_or_assign(std::move(name), std::move(event.object));
             }
         }
         position = batch.position;
@@ -172,7 +185,7 @@
         if (!batch.events.empty()) {
             lastChange = position;
             source = ChangeSource::Watch;
-            events.changed(objects);
+            notifyChange();
         }
         watch();
     }
