Messages of other builds are read, logged and played: form flags, upgrade command

Cause: the parts of a Hello or Report were recognised by the message's size, so that a message that is one byte longer was silence for the whole time in which hosts are replaced; a message of another version was counted as malformed without naming versions; nothing played two builds side by side.

Change: flags that earlier builds ignore state which parts follow; readers take the stated parts and ignore what follows them. Messages of an unreadable version are logged with both versions.

--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -3,6 +3,11 @@
 ///
 /// Each starts with a header of `peerHeaderSize` bytes: version, type, reason, flags, and a 64-bit number
 /// whose meaning depends on the type. In `Relay`, `Return` and `NoteQuery` a whole packet follows.
+///
+/// Processes of different builds run side by side while hosts are replaced, see docs/UPGRADE.md. A reader
+/// ignores flags that it does not know and what follows the parts of a Hello or Report that the flags state;
+/// a new part is sent only to a process that has said that it reads it. The version rises only if earlier
+/// readers would misread a message.
 #pragma once
 
 #include <array>
@@ -167,6 +172,12 @@
     std::uint64_t number = 0; ///< See `PeerMessageType` and `ReturnReason`.
 };
 
+constexpr std::uint8_t peerMessageVersion = 2; ///< Of all messages that this build sends and reads.
+
+/// The version of a message that this build cannot read as a process of another build has sent it; unset for
+/// a readable version, and for bytes that are no message.
+std::optional<std::uint8_t> unreadableVersion(std::span<const std::uint8_t> bytes);
+
 /// Returns false if `bytes` is too short, or has another version or an unknown type or reason.
 bool decodePeerHeader(std::span<const std::uint8_t> bytes, PeerHeader &out);
 /// Writes `peerHeaderSize` bytes.
@@ -180,7 +191,7 @@
 /// Both return the message's size in bytes; `out` must hold `maxPeerMessageSize` bytes.
 std::size_t encodeHello(std::span<std::uint8_t> out, const Hello &hello);
 std::size_t encodeReport(std::span<std::uint8_t> out, const Report &report);
-/// Both return false if the message has another type or size, or a field has an invalid value.
+/// Both return false if the message has another type or is too short, or a field has an invalid value.
 bool decodeHello(std::span<const std::uint8_t> bytes, Hello &out);
 bool decodeReport(std::span<const std::uint8_t> bytes, Report &out);
 
--- a/lab/cmd-soak.cc
+++ b/lab/cmd-soak.cc
@@ -39,6 +39,9 @@
 void printFigures(const SoakOutcome &outcome)
 {
     const auto &figures = outcome.figures;
+    if (outcome.replaced > 0) {
+        fmt::print("processes replaced: {}\n", outcome.replaced);
+    }
     fmt::print("faults played: {}\nflows opened: {}\nopenings refused: {}\nopenings without answer: {}\n",
                outcome.faults, figures.flowsOpened, figures.openingsRefused, figures.openingsIgnored);
     fmt::print(
@@ -51,26 +54,6 @@
     }
 }
 
-// Exit status of one run.
-int report(const SoakOptions &options, const SoakOutcome &outcome)
-{
-    fmt::print("seed: {}\n", options.seed);
-    printFigures(outcome);
-    fmt::print("broken promises: {}\n", outcome.violations.size());
-    for (const auto &violation : outcome.violations) {
-        const std::chrono::duration<double> at = violation.at - outcome.began;
-        fmt::print("broken, {}: seed {} at {:.2f} s: {}\n", toString(violation.promise), options.seed,
-                   at.count(), violation.text);
-    }
-    std::fflush(stdout);
-    if (outcome.violations.empty()) {
-        std::filesystem::remove_all(options.directory);
-        return exitOk;
-    }
-    fmt::print("logs: {}\n", options.directory);
-    return exitOutcomeMissed;
-}
-
 int runSoakCommand(Arguments arguments)
 {
     if (!arguments.empty()) {
@@ -112,7 +95,7 @@
             [&]() -> Result<int> {
                 BOOST_LEAF_AUTO(outcome, runSoak(options));
                 interrupted = outcome.interrupted;
-                return report(options, outcome);
+                return reportSoak(options, outcome);
             },
             [](const Error &error) { return usageError(error.text); });
         status = std::max(status, one);
@@ -125,6 +108,25 @@
 
 } // namespace
 
+int reportSoak(const SoakOptions &options, const SoakOutcome &outcome)
+{
+    fmt::print("seed: {}\n", options.seed);
+    printFigures(outcome);
+    fmt::print("broken promises: {}\n", outcome.violations.size());
+    for (const auto &violation : outcome.violations) {
+        const std::chrono::duration<double> at = violation.at - outcome.began;
+        fmt::print("broken, {}: seed {} at {:.2f} s: {}\n", toString(violation.promise), options.seed,
+                   at.count(), violation.text);
+    }
+    std::fflush(stdout);
+    if (outcome.violations.empty()) {
+        std::filesystem::remove_all(options.directory);
+        return exitOk;
+    }
+    fmt::print("logs: {}\n", options.directory);
+    return exitOutcomeMissed;
+}
+
 Command soakCommand()
 {
     return {.name = "soak",
--- a/lab/commands.h
+++ b/lab/commands.h
@@ -31,5 +31,7 @@
 Command requestsCommand();
 /// Runs the small programs under faults.
 Command soakCommand();
+/// Replaces the processes of an earlier build under faults.
+Command upgradeCommand();
 
 } // namespace oriolelever::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -17,6 +17,7 @@
         oriolelever::lab::controlCommand(),
         oriolelever::lab::stabilityCommand(),
         oriolelever::lab::soakCommand(),
+        oriolelever::lab::upgradeCommand(),
     });
     return oriolelever::runCommandLine("oriolelever-lab", commands, argc, argv);
 }
--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <numeric>
+#include <random>
 
 #include <asio/signal_set.hpp>
 #include <fmt/format.h>
@@ -55,6 +57,46 @@
     return {address, port};
 }
 
+// When and with what a process is to go on, as part of an upgrade.
+struct PlannedReplacement
+{
+    milliseconds at{0}; ///< After the start of the callers.
+    std::size_t node = 0;
+    std::string program;
+};
+
+// Replaces each process once in the first two thirds of `duration`; if it goes back, each once in the first
+// third and again in the second one.
+std::vector<PlannedReplacement> planReplacements(const SoakOptions &options, std::size_t balancers)
+{
+    if (!options.upgrade) {
+        return {};
+    }
+    const auto order = options.upgrade->order;
+    std::vector<std::size_t> nodes(options.processes);
+    std::iota(nodes.begin(), nodes.end(), 0U);
+    if (order == UpgradeOrder::AgentsFirst) {
+        std::rotate(nodes.begin(), nodes.begin() + static_cast<std::ptrdiff_t>(balancers), nodes.end());
+    } else if (order != UpgradeOrder::BalancersFirst) {
+        std::mt19937_64 random(options.seed);
+        std::shuffle(nodes.begin(), nodes.end(), random);
+    }
+    std::vector<PlannedReplacement> plan;
+    for (const auto node : nodes) {
+        plan.push_back({.node = node, .program = options.program});
+    }
+    if (order == UpgradeOrder::MixedAndBack) {
+        for (const auto node : nodes) {
+            plan.push_back({.node = node, .program = options.upgrade->earlierProgram});
+        }
+    }
+    const auto step = options.duration * 2 / 3 / static_cast<std::int64_t>(plan.size());
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+        plan[i].at = step * static_cast<std::int64_t>(i + 1);
+    }
+    return plan;
+}
+
 struct Node
 {
     std::string name;
@@ -62,6 +104,7 @@
     std::string service; ///< Of an agent.
     bool isBalancer = false;
     IpAddress address;
+    std::string program; ///< That the next start runs.
     ChildProcess process;
     bool wanted = true; ///< Started again when it ends.
     bool ending = false; ///< Was told to end, or killed.
@@ -156,10 +199,12 @@
     Result<void> makeNodes()
     {
         const std::size_t balancers = std::max<std::size_t>(2, m_options.processes / 5);
+        m_replacements = planReplacements(m_options, balancers);
         for (std::size_t i = 0; i < m_options.processes; ++i) {
             const bool isBalancer = i < balancers;
             auto node = std::make_unique<Node>();
             node->isBalancer = isBalancer;
+            node->program = m_options.upgrade ? m_options.upgrade->earlierProgram : m_options.program;
             node->name = fmt::format("{}-{}", isBalancer ? "balancer" : "agent", i);
             node->zone = zones[i % zones.size()];
             // Two of three servers are of the first service.
@@ -276,7 +321,7 @@
         node.paused = false;
         m_ledger.processStarted(node.name);
         m_ledger.disturb(node.name, steadyNow(), steadyNow());
-        return node.process.start({.program = m_options.program,
+        return node.process.start({.program = node.program,
                                    .arguments = {node.isBalancer ? "balancer" : "agent", metricsPort},
                                    .environment = {settingsVariable(base + ".json")},
                                    .output = base + ".log"});
@@ -348,6 +393,10 @@
                 play(m_plan.front(), now);
                 m_plan.erase(m_plan.begin());
             }
+            while (!m_replacements.empty() && now - m_outcome.began >= m_replacements.front().at) {
+                replaceProgram(m_replacements.front(), now);
+                m_replacements.erase(m_replacements.begin());
+            }
             if (now > m_phaseEnds) {
                 endFaults();
                 enter(Phase::Recovering, now, recovery);
@@ -507,6 +556,23 @@
         node.process.send(SIGTERM);
     }
 
+    void stop(Node &node, TimePoint now)
+    {
+        if (node.process.isRunning() && !node.ending) {
+            m_ledger.disturbPlanned(node.name, now, now + grace);
+            terminate(node, now);
+        }
+    }
+
+    // A process that does not run, or is already ending, starts with the other program next time.
+    void replaceProgram(const PlannedReplacement &replacement, TimePoint now)
+    {
+        auto &node = *m_nodes[replacement.node];
+        node.program = replacement.program;
+        ++m_outcome.replaced;
+        stop(node, now);
+    }
+
     void play(const PlannedFault &fault, TimePoint now)
     {
         ++m_outcome.faults;
@@ -525,10 +591,7 @@
             kill(node, now);
             return;
         case FaultKind::StopNode:
-            if (node.process.isRunning() && !node.ending) {
-                m_ledger.disturbPlanned(node.name, now, now + grace);
-                terminate(node, now);
-            }
+            stop(node, now);
             return;
         case FaultKind::PauseNode:
             if (node.process.isRunning()) {
@@ -905,6 +968,7 @@
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
     std::vector<PlannedFault> m_plan;
+    std::vector<PlannedReplacement> m_replacements;
     FileDescriptor m_reservation;
     std::uint32_t m_subnet = 0;
     std::unique_ptr<StoreServer> m_store;
@@ -930,6 +994,21 @@
 
 } // namespace
 
+std::string_view toString(UpgradeOrder order)
+{
+    switch (order) {
+    case UpgradeOrder::BalancersFirst:
+        return "balancers first";
+    case UpgradeOrder::AgentsFirst:
+        return "agents first";
+    case UpgradeOrder::Mixed:
+        return "mixed";
+    case UpgradeOrder::MixedAndBack:
+        return "mixed and back";
+    }
+    return "unknown";
+}
+
 Result<SoakOutcome> runSoak(const SoakOptions &options)
 {
     SoakRun run(options);
--- a/lab/soak-run.h
+++ b/lab/soak-run.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "oriolelever/codes.h"
@@ -26,6 +28,23 @@
     HideEra, ///< The store does not state its era.
 };
 
+/// In which order the processes of an earlier build are replaced.
+enum class UpgradeOrder : std::uint8_t {
+    BalancersFirst,
+    AgentsFirst,
+    Mixed,
+    MixedAndBack, ///< Mixed, and then back to the earlier build in the same order.
+};
+
+std::string_view toString(UpgradeOrder order);
+
+/// Replacement of an earlier build's processes while the run goes on, see `upgradeCommand`.
+struct SoakUpgrade
+{
+    std::string earlierProgram; ///< The small program of the build that runs at the start.
+    UpgradeOrder order = UpgradeOrder::BalancersFirst;
+};
+
 struct SoakOptions
 {
     std::uint64_t seed = 1;
@@ -34,6 +53,7 @@
     std::string program; ///< The small program.
     std::string directory; ///< For settings and logs; made, and kept if a promise broke.
     SoakPlant plant = SoakPlant::None;
+    std::optional<SoakUpgrade> upgrade;
 };
 
 struct SoakOutcome
@@ -42,12 +62,16 @@
     std::map<Promise, std::uint64_t> judged;
     CallerFigures figures;
     std::uint64_t faults = 0; ///< Played.
+    std::uint64_t replaced = 0; ///< Processes that were stopped to run another build.
     std::uint64_t stalls = 0; ///< Times at which the soak itself stood still.
     std::uint64_t largestMemory = 0; ///< Resident bytes of a process.
     TimePoint began{}; ///< Start of the callers.
     bool interrupted = false;
 };
 
+/// Prints what a run showed, and removes its directory if it broke no promise. Returns the exit status.
+int reportSoak(const SoakOptions &options, const SoakOutcome &outcome);
+
 /// Runs until the end or a signal. Fails if addresses or processes cannot be had.
 Result<SoakOutcome> runSoak(const SoakOptions &options);
 
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -7,6 +7,7 @@
 #include <prometheus/histogram.h>
 
 #include "oriolelever/clock.h"
+#include "peer-log.h"
 
 namespace oriolelever {
 
@@ -247,8 +248,7 @@
     Segment segment;
     if (!decodePeerHeader(bytes, header)) {
         m_counters->malformed.Increment();
-        m_log.write(m_now, "datagram_malformed", "port", "relay", "from", toString(from), "size",
-                    bytes.size());
+        logUnreadableMessage(m_log, m_now, "relay", from, bytes);
         return;
     }
     if (header.type == PeerMessageType::Hello) {
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint8_t messageVersion = 2;
 constexpr std::size_t eraTagOffset = 2; // Of a Hello and a Report: reason and flags, which these lack.
 constexpr std::size_t helloSize = peerHeaderSize + 35; // Bytes, as all sizes here.
 constexpr std::size_t reportSize = peerHeaderSize + 58;
@@ -32,7 +31,13 @@
 constexpr std::uint8_t acceptsCapacityFlag = 4;
 // Flags of a report's body.
 constexpr std::uint8_t failingFlag = 1; // `Report::isFailing`.
-constexpr std::uint8_t unreliableFlag = 2; // `Report::isUnreliable`; agents of earlier versions send 0.
+constexpr std::uint8_t unreliableFlag = 2; // `Report::isUnreliable`; agents of earlier builds send 0.
+// Of both: the two flags above it state which parts follow the body, so that a longer message can be read.
+// Earlier builds state them by the message's size alone.
+constexpr std::uint8_t partsStatedFlag = 8;
+constexpr std::uint8_t rememberedFlag = 16; // Of a hello.
+constexpr std::uint8_t capacityFlag = 16; // Of a report.
+constexpr std::uint8_t filterFlag = 32; // Of a report.
 
 std::uint32_t clampedMilliseconds(std::chrono::milliseconds time)
 {
@@ -208,9 +213,17 @@
     return "unknown";
 }
 
+std::optional<std::uint8_t> unreadableVersion(std::span<const std::uint8_t> bytes)
+{
+    if (bytes.size() < peerHeaderSize || bytes[0] == 0 || bytes[0] == peerMessageVersion) {
+        return {};
+    }
+    return bytes[0];
+}
+
 bool decodePeerHeader(std::span<const std::uint8_t> bytes, PeerHeader &out)
 {
-    if (bytes.size() < peerHeaderSize || bytes[0] != messageVersion) {
+    if (bytes.size() < peerHeaderSize || bytes[0] != peerMessageVersion) {
         return false;
     }
     if (bytes[1] < static_cast<std::uint8_t>(PeerMessageType::Relay)
@@ -238,7 +251,7 @@
 
 void encodePeerHeader(std::span<std::uint8_t> out, const PeerHeader &header)
 {
-    out[0] = messageVersion;
+    out[0] = peerMessageVersion;
     out[1] = static_cast<std::uint8_t>(header.type);
     out[2] = static_cast<std::uint8_t>(header.reason);
     out[3] = header.mayReturnBusy ? mayReturnBusyFlag : 0;
@@ -284,7 +297,8 @@
     std::uint8_t *body = out.data() + peerHeaderSize;
     body[0] = static_cast<std::uint8_t>((hello.unlisted ? unlistedFlag : 0)
                                         | (hello.wantsFlows ? wantsFlowsFlag : 0)
-                                        | (hello.acceptsCapacity ? acceptsCapacityFlag : 0));
+                                        | (hello.acceptsCapacity ? acceptsCapacityFlag : 0) | partsStatedFlag
+                                        | (hello.remembered ? rememberedFlag : 0));
     write32(body + 1, hello.coldFlowsPerSecond);
     write32(body + 5, clampedMilliseconds(hello.idleLimit));
     write16(body + 9, clampedMilliseconds16(hello.reportPeriod));
@@ -304,10 +318,17 @@
 {
     PeerHeader header;
     if (!decodePeerHeader(bytes, header) || header.type != PeerMessageType::Hello
-        || (bytes.size() != helloSize && bytes.size() != helloSize + rememberedSize)) {
+        || bytes.size() < helloSize) {
         return false;
     }
     const std::uint8_t *body = bytes.data() + peerHeaderSize;
+    const bool statesParts = (body[0] & partsStatedFlag) != 0;
+    const bool hasRemembered
+        = statesParts ? (body[0] & rememberedFlag) != 0 : bytes.size() == helloSize + rememberedSize;
+    const auto statedSize = helloSize + (hasRemembered ? rememberedSize : 0);
+    if (bytes.size() < statedSize || (!statesParts && bytes.size() != statedSize)) {
+        return false;
+    }
     out.lifetime = header.number;
     out.unlisted = (body[0] & unlistedFlag) != 0;
     out.coldFlowsPerSecond = read32(body + 1);
@@ -320,7 +341,7 @@
                      .configuration = read64(body + 19),
                      .evacuations = read64(body + 27)};
     out.remembered.reset();
-    if (bytes.size() > helloSize) {
+    if (hasRemembered) {
         body = bytes.data() + helloSize;
         out.remembered = {.bornAt = read64(body), .capacity = readLearned(body + 8)};
     }
@@ -340,8 +361,9 @@
     write32(body + 23, report.waiting);
     write32(body + 27, clampedMilliseconds(report.coldLeft));
     write64(body + 31, report.bornAt);
-    body[39] = static_cast<std::uint8_t>((report.isFailing ? failingFlag : 0)
-                                         | (report.isUnreliable ? unreliableFlag : 0));
+    body[39] = static_cast<std::uint8_t>(
+        (report.isFailing ? failingFlag : 0) | (report.isUnreliable ? unreliableFlag : 0) | partsStatedFlag
+        | (report.capacity ? capacityFlag : 0) | (report.heldFlowFilter ? filterFlag : 0));
     write16(body + 40, report.balancers);
     write64(body + 42, report.documents.configuration);
     write64(body + 50, report.documents.evacuations);
@@ -366,13 +388,18 @@
         || bytes.size() < reportSize) {
         return false;
     }
+    const std::uint8_t *body = bytes.data() + peerHeaderSize;
     const auto extraSize = bytes.size() - reportSize;
-    const bool hasCapacity = extraSize == capacitySize || extraSize == capacitySize + filterSize;
-    const bool hasFilter = extraSize == filterSize || extraSize == capacitySize + filterSize;
-    if (extraSize != 0 && !hasCapacity && !hasFilter) {
+    const bool statesParts = (body[39] & partsStatedFlag) != 0;
+    const bool hasCapacity = statesParts
+        ? (body[39] & capacityFlag) != 0
+        : extraSize == capacitySize || extraSize == capacitySize + filterSize;
+    const bool hasFilter = statesParts ? (body[39] & filterFlag) != 0
+                                       : extraSize == filterSize || extraSize == capacitySize + filterSize;
+    const auto statedSize = (hasCapacity ? capacitySize : 0) + (hasFilter ? filterSize : 0);
+    if (extraSize < statedSize || (!statesParts && extraSize != statedSize)) {
         return false;
     }
-    const std::uint8_t *body = bytes.data() + peerHeaderSize;
     if (body[16] > static_cast<std::uint8_t>(BackendState::Silent)) {
         return false;
     }
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -9,6 +9,7 @@
 #include <prometheus/gauge.h>
 
 #include "oriolelever/clock.h"
+#include "peer-log.h"
 
 namespace oriolelever {
 
@@ -418,8 +419,7 @@
     PeerHeader header;
     if (!decodePeerHeader(bytes, header)) {
         m_counters->malformedDatagrams.Increment();
-        m_log.write(m_now, "datagram_malformed", "port", "link", "from", toString(from), "size",
-                    bytes.size());
+        logUnreadableMessage(m_log, m_now, "link", from, bytes);
         return;
     }
     if (header.type == PeerMessageType::Report) {
