--- a/include/oriolelever/http-client.h
+++ b/include/oriolelever/http-client.h
@@ -67,8 +67,6 @@
     /// function has returned.
     void abortCall();
 
-    /// Whether a call runs or waits.
-    bool isBusy() const;
     /// Attempts to open a connection so far.
     std::uint64_t connectCount() const;
 
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -79,11 +79,6 @@
         closeConnection();
     }
 
-    bool isBusy() const
-    {
-        return m_busy;
-    }
-
     std::uint64_t connectCount = 0;
 
 private:
@@ -378,11 +373,6 @@
     m_session->enqueue(std::move(call));
 }
 
-bool HttpClient::isBusy() const
-{
-    return m_session->isBusy();
-}
-
 std::uint64_t HttpClient::connectCount() const
 {
     return m_session->connectCount;
