--- a/include/oriolelever/object-follower.h
+++ b/include/oriolelever/object-follower.h
@@ -35,9 +35,10 @@
                                           double randomFraction);
 
 /// Returns how long each of `watchers` processes that tell each other of changes should let a watch call
-/// wait. Their calls end at different times, so that one of them notices a failed watch about every
-/// `watchEndPeriod`; the more they are, the longer each may wait.
-std::chrono::milliseconds sharedWatchTimeout(std::size_t watchers);
+/// wait. Their calls end at different times, so that of the time `noticeTime`, in which a change must become
+/// known although the store has lost all watches, `watchEndsInNoticeTime` end on average; the more they are,
+/// the longer each may wait.
+std::chrono::milliseconds sharedWatchTimeout(std::size_t watchers, std::chrono::milliseconds noticeTime);
 
 /// What preceded a watch.
 enum class PreviousWatch {
@@ -53,7 +54,9 @@
 std::chrono::milliseconds watchWaitAfter(PreviousWatch previous, std::chrono::milliseconds timeout,
                                          double randomFraction);
 
-constexpr std::chrono::milliseconds watchEndPeriod{350};
+/// With 8, all of them miss a given `noticeTime` in one of 3,000 cases.
+constexpr int watchEndsInNoticeTime = 8;
+constexpr std::chrono::milliseconds defaultNoticeTime{2800}; ///< Where the platform states none.
 constexpr std::chrono::milliseconds minSharedWatchTimeout{4000};
 /// Below the longest wait of the platform's store, 30 s.
 constexpr std::chrono::milliseconds maxSharedWatchTimeout{20'000};
@@ -122,7 +125,7 @@
     /// Of the last list or watch.
     StorePosition position() const;
     /// Lists the objects if they are known as of an earlier position only: another process has seen them
-    /// change at this one. The watch goes on. After a failed list, calls have no effect for `maxRetryDelay`.
+    /// change at this one. The watch goes on. After a failed list, calls have no effect for 600 ms.
     void catchUp(StorePosition position);
     /// Makes a call at once that waits to be retried after a failure, as the store has answered another call.
     void retryNow();
--- a/src/object-follower.cc
+++ b/src/object-follower.cc
@@ -8,6 +8,12 @@
 
 namespace oriolelever {
 
+namespace {
+
+constexpr std::chrono::milliseconds catchUpRetryDelay{600};
+
+} // namespace
+
 std::chrono::milliseconds followerBackoff(const FollowerOptions &options, int failures, double randomFraction)
 {
     constexpr int maxDoublings = 8;
@@ -18,9 +24,10 @@
     return half + std::chrono::milliseconds(jitter);
 }
 
-std::chrono::milliseconds sharedWatchTimeout(std::size_t watchers)
+std::chrono::milliseconds sharedWatchTimeout(std::size_t watchers, std::chrono::milliseconds noticeTime)
 {
-    const auto timeout = watchEndPeriod * static_cast<std::int64_t>(watchers);
+    const auto usedTime = noticeTime > std::chrono::milliseconds::zero() ? noticeTime : defaultNoticeTime;
+    const auto timeout = usedTime * static_cast<std::int64_t>(watchers) / watchEndsInNoticeTime;
     return std::clamp<std::chrono::milliseconds>(timeout, minSharedWatchTimeout, maxSharedWatchTimeout);
 }
 
@@ -126,9 +133,8 @@
         api.list(options.kind, [self = shared_from_this(), later](Answer<ObjectList> answer) {
             self->isCatchingUp = false;
             if (!answer) {
-                self->catchUpNotBefore = std::chrono::steady_clock::now() + self->options.maxRetryDelay;
-                self->reportFailure("catch_up", self->catchUpStart, answer.error(),
-                                    self->options.maxRetryDelay);
+                self->catchUpNotBefore = std::chrono::steady_clock::now() + catchUpRetryDelay;
+                self->reportFailure("catch_up", self->catchUpStart, answer.error(), catchUpRetryDelay);
             }
             if (self->isStopped || !answer || answer.value().position <= self->position) {
                 return;
