Services and priorities of the routes are worked out once for each table

Cause: by reading. Every 100 ms a balancer went twice through all routes to learn which services state terms: 24,000 routes at the size to design for.

Change: `leastUrgentPriorities`, when a table is put in force. Two tests that changed the table in place now apply it.

--- a/include/oriolelever/routing-table.h
+++ b/include/oriolelever/routing-table.h
@@ -46,4 +46,8 @@
     std::chrono::milliseconds idleLimit{0};
 };
 
+/// Returns the services of routes that state terms, each with the least urgent priority of all its routes:
+/// that of routes without terms is `lowestPriority`. Linear in the number of routes.
+std::unordered_map<ServiceId, std::uint8_t> leastUrgentPriorities(const RoutingTable &table);
+
 } // namespace oriolelever
--- a/include/oriolelever/service-room.h
+++ b/include/oriolelever/service-room.h
@@ -112,7 +112,6 @@
     std::uint32_t unreliableServers = 0; ///< Of those that accept flows.
     bool areMostUnreliable = false; ///< Leaving out the unreliable servers could overload the others.
     bool hadOwnServers = true; ///< The own zone had a server at the previous update.
-    bool isRouted = false; ///< A route with terms names the service; set by the owner of the struct.
 };
 
 /// A change of a share that is to be logged.
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -248,6 +248,8 @@
 {
     SteeringOptions options;
     RoutingTable table; ///< The configuration in force.
+    /// Of `table`, see `leastUrgentPriorities`.
+    std::unordered_map<ServiceId, std::uint8_t> leastUrgent;
     bool hasTable = false; ///< `table` was read.
     bool hasAgentList = false; ///< The agents' entries in the platform's store were read.
     std::unordered_set<ZoneId> evacuatedZones; ///< Their servers get no new flows.
--- a/src/steering-configuration.cc
+++ b/src/steering-configuration.cc
@@ -17,6 +17,12 @@
     state.hold.until = now + state.options.eraHoldTime;
 }
 
+void putInForce(SteeringState &state, RoutingTable table)
+{
+    state.leastUrgent = leastUrgentPriorities(table);
+    state.table = std::move(table);
+}
+
 } // namespace
 
 TableOutcome applyTable(SteeringState &state, RoutingTable table, TimePoint now)
@@ -31,7 +37,7 @@
         return TableOutcome::Held;
     }
     state.hold.olderTable.reset();
-    state.table = std::move(table);
+    putInForce(state, std::move(table));
     state.hasTable = true;
     return TableOutcome::InForce;
 }
@@ -67,7 +73,7 @@
         state.evacuatedZones.erase(zone);
     }
     if (state.hold.olderTable) {
-        state.table = *std::exchange(state.hold.olderTable, std::nullopt);
+        putInForce(state, *std::exchange(state.hold.olderTable, std::nullopt));
     }
     return true;
 }
--- a/src/steering-placement.cc
+++ b/src/steering-placement.cc
@@ -535,40 +535,15 @@
         return;
     }
     state.roomsUpdatedAt = now;
-    for (auto &[service, room] : state.rooms) {
-        room.isRouted = false;
-        room.leastUrgent = 0;
+    std::erase_if(state.rooms, [&](const auto &entry) { return !state.leastUrgent.contains(entry.first); });
+    for (const auto &[service, leastUrgent] : state.leastUrgent) {
+        auto &room = state.rooms[service];
+        room.leastUrgent = leastUrgent;
         beginUpdate(room);
     }
-    for (const auto &[address, route] : state.table.routes) {
-        if (route.terms == RouteTerms{}) {
-            continue;
-        }
-        for (const auto &weighted : route.services) {
-            auto [found, isNew] = state.rooms.try_emplace(weighted.service);
-            auto &room = found->second;
-            if (isNew) {
-                beginUpdate(room);
-            }
-            room.isRouted = true;
-            room.leastUrgent = std::max(room.leastUrgent, route.terms.priority);
-        }
-    }
-    std::erase_if(state.rooms, [](const auto &entry) { return !entry.second.isRouted; });
     if (state.rooms.empty()) {
         return;
     }
-    for (const auto &[address, route] : state.table.routes) {
-        if (route.terms != RouteTerms{}) {
-            continue;
-        }
-        for (const auto &weighted : route.services) {
-            const auto found = state.rooms.find(weighted.service);
-            if (found != state.rooms.end()) {
-                found->second.leastUrgent = lowestPriority;
-            }
-        }
-    }
     const auto &options = state.options.room;
     for (const auto &backend : state.backends) {
         const auto found = state.rooms.find(backend.report.service);
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -949,13 +949,32 @@
     EXPECT_EQ(third.cause, SteeringCause::NoServer);
 }
 
+// Guards against work for each route that balancers would repeat every 100 ms: they may have 24,000 routes.
+TEST(RoutingTableTest, ServicesHaveTheLeastUrgentPriorityOfTheirRoutes)
+{
+    const auto a = idOf<ServiceId>("a");
+    const auto b = idOf<ServiceId>("b");
+    const auto plain = idOf<ServiceId>("plain");
+    const auto address = [](std::uint16_t port) {
+        return Endpoint{ipv4Address(0xc6120001), port};
+    };
+    RoutingTable table;
+    table.routes[address(1)] = {.services = {{a, 1}, {b, 1}}, .terms = {.priority = 1}};
+    table.routes[address(2)] = {.services = {{a, 1}}, .terms = {.priority = 3}};
+    table.routes[address(3)] = {.services = {{b, 1}, {plain, 1}}};
+    const std::unordered_map<ServiceId, std::uint8_t> expected{{a, 3}, {b, lowestPriority}};
+    EXPECT_EQ(leastUrgentPriorities(table), expected);
+}
+
 // A balancer whose route states terms.
 class TermsTest : public SteeringTest
 {
 public:
     TermsTest()
     {
-        state.table.routes[virtualAddress].terms = {.priority = 2, .timeLimit = milliseconds(1500)};
+        auto table = state.table;
+        table.routes[virtualAddress].terms = {.priority = 2, .timeLimit = milliseconds(1500)};
+        applyTable(state, std::move(table), now);
     }
 
     // Three servers with so much work, and a pace of 100 requests a second.
@@ -1005,7 +1024,9 @@
 
 TEST_F(TermsTest, AnotherServiceOfTheRouteTakesWhatAnOverloadedOneCannot)
 {
-    state.table.routes[virtualAddress].services.push_back({idOf<ServiceId>("other"), 1});
+    auto table = state.table;
+    table.routes[virtualAddress].services.push_back({idOf<ServiceId>("other"), 1});
+    applyTable(state, std::move(table), now);
     reportWork(150);
     report("10.0.0.4", {.service = idOf<ServiceId>("other"), .state = BackendState::Ready, .slots = 8});
     for (std::uint16_t port = 1; port <= 3; ++port) {
