Flows are listed each second and kept each 2 s

Cause: for ten seconds after a loss of all power, callers lost dossiers on flows that no list named, as they had been opened up to 6 s before; their next request met a flow that had ended. Such requests cannot be repeated.

Change: agents list their flows each second (each 2 s where the list takes several messages), the zone's balancer keeps them in the store each 2 s.

--- a/include/oriolelever/flow-snapshots.h
+++ b/include/oriolelever/flow-snapshots.h
@@ -17,7 +17,7 @@
     std::string kind; ///< Kind of the snapshots' objects in the store.
     std::string zone; ///< Availability zone; the name of the object.
     /// Between two writes. A flow that opened later than this before a power loss is not in the snapshot.
-    std::chrono::milliseconds period{4000};
+    std::chrono::milliseconds period{2000};
     std::chrono::milliseconds retryDelay{600}; ///< After a failed read, which the first write needs.
 };
 
--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -30,7 +30,8 @@
     GateOptions gate;
     std::chrono::milliseconds tickPeriod{100}; ///< Of the check for timeouts and due reports.
     std::chrono::milliseconds reportPeriod{200}; ///< To a balancer whose Hello has not come yet.
-    std::chrono::milliseconds flowListPeriod{2000}; ///< Between two lists of the server's flows.
+    std::chrono::milliseconds flowListPeriod{
+        1000}; ///< Between two lists of the server's flows; twice that if they take several messages.
     /// Without a Hello, after which a balancer does not get the lists: three periods of Hellos in a zone.
     std::chrono::milliseconds receiverTimeout{3000};
     std::chrono::milliseconds balancerTimeout{
@@ -148,6 +149,7 @@
     std::unordered_map<IpAddress, Balancer, AddressHash> m_balancers;
     TimePoint m_now{}; ///< Time of the current datagram batch; unset between batches.
     TimePoint m_lastFlowList{};
+    std::size_t m_flowListParts = 0; ///< Messages of the last list.
     bool m_wasFailing = false; ///< As the last reports to all balancers stated.
     bool m_wasUnreliable = false; ///< As reported last.
     TimePoint m_lastProbe{};
--- a/include/oriolelever/mechanisms.h
+++ b/include/oriolelever/mechanisms.h
@@ -21,7 +21,7 @@
     SteeringOptions steering;
     GateOptions gate;
     DeferOptions defer;
-    std::chrono::milliseconds flowListPeriod{2000}; ///< Between two lists of a server's flows.
+    std::chrono::milliseconds flowListPeriod{1000}; ///< Between two lists of a server's flows.
 };
 
 /// A switch.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -700,7 +700,7 @@
     reportFailing(now);
     announceCapacity(now);
     sendDueReports(now);
-    if (now - m_lastFlowList >= m_options.flowListPeriod) {
+    if (now - m_lastFlowList >= m_options.flowListPeriod * (m_flowListParts > 1 ? 2 : 1)) {
         m_lastFlowList = now;
         sendFlowList(now);
     }
@@ -778,7 +778,8 @@
         return;
     }
     std::array<std::uint8_t, maxFlowListSize> message{};
-    for (std::size_t part = 0; part < flowListParts(*list); ++part) {
+    m_flowListParts = flowListParts(*list);
+    for (std::size_t part = 0; part < m_flowListParts; ++part) {
         const auto size = encodeFlowList(message, *list, part);
         m_relay.send({message.data(), size}, {*receiver, m_options.balancerPort});
         m_relay.flush();
