--- a/test/documents-test.cc
+++ b/test/documents-test.cc
@@ -116,6 +116,18 @@
     EXPECT_NE(problems.find("r-2"), std::string::npos);
 }
 
+// Guards against a document that exhausts the stack, or names that no other process can write.
+TEST(DocumentsTest, NestingAndEncodingAreLimited)
+{
+    std::string problems;
+    const std::string nested = R"({"Version":1,"Routes":[],"Limits":)" + std::string(100'000, '[')
+        + std::string(100'000, ']') + "}";
+    const std::string noText = "{\"Version\":1,\"Routes\":[],\"Note\":\"\xff\"}";
+    for (const auto &text : {nested, noText}) {
+        EXPECT_NE(errorOf([&] { return decodeConfiguration(text, {}, problems); }), "");
+    }
+}
+
 TEST(DocumentsTest, AConfigurationWithoutRoutesIsRefused)
 {
     std::string problems;
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -257,6 +257,32 @@
     EXPECT_EQ(sizes, expected);
 }
 
+// Guards against a value that is decoded again, or missed, where values are not kept.
+TEST_F(StoreClientTest, AFollowerThatKeepsNoValuesHasThoseOfTheLastChange)
+{
+    const json document{{"Version", 1}, {"Limits", {{"Low", -1.5}, {"Set", true}, {"None", nullptr}}}};
+    addReply(200, {{"items", {storedObject("main", 3, document)}}, {"More", false}, {"StoreRevision", 4}});
+    addReply(200,
+             {{"events", {{{"Object", storedObject("other", 5, json::object())}, {"Deleted", false}}}},
+              {"StoreRevision", 5}});
+    std::vector<std::string> values;
+    client->keepText("config");
+    ObjectFollower follower(context, *client, {.kind = "config", .keepsValues = false},
+                            {.changed =
+                                 [&](const auto &objects) {
+                                     const auto &value = objects.at("main").value;
+                                     values.push_back(value.is_string() ? value.template get<std::string>()
+                                                                        : "none");
+                                 },
+                             .availability =
+                                 [](bool, const std::string &) {
+                                 }});
+    follower.start();
+    runUntil(context, [&] { return values.size() == 2; });
+    EXPECT_EQ(json::parse(values[0]), document);
+    EXPECT_EQ(values[1], "none");
+}
+
 TEST_F(StoreClientTest, AProcessThatRestartedFindsItsOwnEntry)
 {
     IpAddress host;
