--- a/test/documents-test.cc
+++ b/test/documents-test.cc
@@ -120,8 +120,8 @@
 TEST(DocumentsTest, NestingAndEncodingAreLimited)
 {
     std::string problems;
-    const std::string nested = R"({"Version":1,"Routes":[],"Limits":)" + std::string(100'000, '[')
-        + std::string(100'000, ']') + "}";
+    const std::string nested = R"({"Version":1,"Routes":[],"Limits":)" + std::string(1'000'000, '[')
+        + std::string(1'000'000, ']') + "}";
     const std::string noText = "{\"Version\":1,\"Routes\":[],\"Note\":\"\xff\"}";
     for (const auto &text : {nested, noText}) {
         EXPECT_NE(errorOf([&] { return decodeConfiguration(text, {}, problems); }), "");
