--- /dev/null
+++ b/review/standin/main.cc
@@ -0,0 +1,278 @@
+// The scripts of the review: `review-standin CASE RECORD DIRECTORY`, in the repository's root. Exits with 1
+// if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the environment the
+// disruption is left out.
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+
+#include "world.h"
+
+namespace review {
+
+namespace {
+
+constexpr int held = 0;
+constexpr int broken = 1;
+constexpr int notRun = 2;
+
+bool hasTrouble()
+{
+    const char *value = std::getenv("TROUBLE");
+    return value == nullptr || std::string(value) != "0";
+}
+
+int verdict(bool isBroken, const std::string &text)
+{
+    record.line((isBroken ? "BROKEN: " : "HELD: ") + text);
+    std::printf("%s%s\n", isBroken ? "BROKEN: " : "HELD: ", text.c_str());
+    return isBroken ? broken : held;
+}
+
+int cannotRun(const std::string &text)
+{
+    record.line("NOT RUN: " + text);
+    std::printf("NOT RUN: %s\n", text.c_str());
+    return notRun;
+}
+
+/// Requests that were sent, each on a flow of its own, and how many were answered.
+struct Traffic
+{
+    int sent = 0;
+    int answered = 0;
+};
+
+// Sends requests on fresh flows from all zones for a while, at 20 a second.
+Traffic sendTraffic(World &world, const std::string &name, double seconds, int virtualPort)
+{
+    struct Try
+    {
+        Client *client = nullptr;
+        int flow = 0;
+        std::string id;
+        bool isSent = false;
+    };
+
+    std::vector<Try> tries;
+    const auto end = nowSeconds() + seconds;
+    double next = nowSeconds();
+    const auto advance = [&] {
+        for (auto &entry : tries) {
+            if (!entry.isSent && entry.client->state(entry.flow) == FlowState::Open) {
+                entry.isSent = true;
+                entry.client->request(entry.flow, entry.id, 3);
+            }
+        }
+    };
+    while (nowSeconds() < end) {
+        if (nowSeconds() >= next) {
+            next += 0.05;
+            auto &client = *world.clients[tries.size() % world.clients.size()];
+            tries.push_back({.client = &client,
+                             .flow = client.open(virtualPort),
+                             .id = name + "-" + std::to_string(tries.size())});
+        }
+        advance();
+        sleepFor(0.005);
+    }
+    const auto last = nowSeconds() + 3.5;
+    while (nowSeconds() < last) {
+        advance();
+        sleepFor(0.01);
+    }
+    Traffic traffic{.sent = static_cast<int>(tries.size())};
+    for (const auto &entry : tries) {
+        traffic.answered += entry.client->outcome(entry.id).value_or(false) ? 1 : 0;
+        entry.client->close(entry.flow);
+    }
+    record.line("traffic " + name + ": sent " + std::to_string(traffic.sent) + ", answered "
+                + std::to_string(traffic.answered));
+    return traffic;
+}
+
+// The kind of objects in which the system keeps the entry of this process.
+std::string kindOfEntry(Store &store, const std::vector<std::string> &kinds, const std::string &name)
+{
+    for (const auto &kind : kinds) {
+        const auto names = store.names(kind);
+        if (std::find(names.begin(), names.end(), name) != names.end()) {
+            return kind;
+        }
+    }
+    return {};
+}
+
+int runUnreadableEntry(World &world)
+{
+    world.site.zones = {"milano-a", "milano-b"};
+    world.addBalancer("milano-a");
+    world.addBalancer("milano-b");
+    for (const auto *zone : {"milano-a", "milano-b", "milano-a", "milano-b"}) {
+        world.addServer(zone, "sportello");
+    }
+    world.configure(7, {{.port = 8080, .service = "sportello"}});
+    if (!world.start()) {
+        return cannotRun("the balancers did not become ready");
+    }
+    const auto before = sendTraffic(world, "before", 4, 8080);
+    const auto kind = kindOfEntry(world.store, world.store.kinds(), world.agents.front()->name());
+    if (kind.empty() || 4 * before.answered < before.sent) {
+        return cannotRun("no entry of an agent, or the deployment does not serve");
+    }
+    if (hasTrouble()) {
+        // Fields missing, a field of another type, and a string whose bytes cannot be read: RFC 8259, section
+        // 8.2, allows this escape in a document, and no text stands for it. SPEC replaces the last one.
+        const char *spec = std::getenv("SPEC");
+        world.store.put(kind, "another-writer-1", "{}");
+        world.store.put(kind, "another-writer-2", R"({"host":7})");
+        world.store.put(kind, "another-writer-3", spec != nullptr ? spec : R"({"host":"\ud83d"})");
+        record.line("another writer: three entries of kind " + kind);
+    }
+    for (auto &node : world.balancers) {
+        node->send(SIGKILL);
+    }
+    for (auto &node : world.agents) {
+        node->send(SIGKILL);
+    }
+    constexpr double recoverySeconds = 12;
+    sleepFor(2 + recoverySeconds);
+    const auto after = sendTraffic(world, "after", 6, 8080);
+    return verdict(4 * after.answered < after.sent,
+                   std::to_string(before.answered) + " of " + std::to_string(before.sent)
+                       + " requests answered before all processes were killed, "
+                       + std::to_string(after.answered) + " of " + std::to_string(after.sent)
+                       + " later than 12 s after they were back; processes that ended by themselves: "
+                       + std::to_string(world.ownEnds()));
+}
+
+// A flow of one client, and the id of its first and second request.
+struct LongFlow
+{
+    Client *client = nullptr;
+    int flow = 0;
+    std::string first;
+    std::string second;
+    bool isFirstSent = false;
+};
+
+void sendFirstRequests(std::vector<LongFlow> &flows)
+{
+    for (auto &entry : flows) {
+        if (!entry.isFirstSent && entry.client->state(entry.flow) == FlowState::Open) {
+            entry.isFirstSent = true;
+            entry.client->request(entry.flow, entry.first, 3);
+        }
+    }
+}
+
+int runStaleOpening(World &world)
+{
+    world.site.zones = {"milano-a", "milano-b"};
+    auto &frozen = world.addBalancer("milano-a");
+    world.addBalancer("milano-b");
+    auto &leaving = world.addServer("milano-a", "sportello");
+    auto &staying = world.addServer("milano-b", "sportello");
+    auto &otherStaying = world.addServer("milano-b", "sportello");
+    world.configure(7, {{.port = 8080, .service = "sportello", .type = "non_idempotent"}});
+    if (!world.start()) {
+        return cannotRun("the balancers did not become ready");
+    }
+    std::vector<LongFlow> flows;
+    const auto open = [&](double until) {
+        while (nowSeconds() < until) {
+            const auto number = std::to_string(flows.size());
+            auto &client = *world.clients[flows.size() % world.clients.size()];
+            flows.push_back({.client = &client,
+                             .flow = client.open(8080),
+                             .first = "a" + number,
+                             .second = "b" + number});
+            const auto next = nowSeconds() + 0.025;
+            while (nowSeconds() < next) {
+                sendFirstRequests(flows);
+                sleepFor(0.005);
+            }
+        }
+    };
+    const auto begin = nowSeconds();
+    if (hasTrouble()) {
+        frozen.send(SIGSTOP);
+    }
+    constexpr double freezeSeconds = 4;
+    open(begin + 2);
+    while (nowSeconds() < begin + freezeSeconds) {
+        sendFirstRequests(flows);
+        sleepFor(0.005);
+    }
+    if (hasTrouble()) {
+        frozen.send(SIGCONT);
+    }
+    // A planned removal: the server drains, deregisters and ends, then its agent is stopped.
+    sleepFor(1);
+    leaving.drain();
+    sleepFor(5);
+    leaving.leave();
+    world.agents.front()->send(SIGTERM);
+    sleepFor(0.05);
+    world.agents.front()->remove();
+    sleepFor(1.5);
+    int resets = 0;
+    int asked = 0;
+    int unanswered = 0;
+    std::vector<LongFlow *> sent;
+    for (auto &entry : flows) {
+        const auto address = entry.client->address(entry.flow);
+        const bool isHeld = staying.holds(address) || otherStaying.holds(address);
+        if (entry.client->state(entry.flow) == FlowState::Open && isHeld) {
+            ++asked;
+            entry.client->request(entry.flow, entry.second, 5);
+            sent.push_back(&entry);
+        }
+    }
+    sleepFor(5.5);
+    for (auto *entry : sent) {
+        const auto address = entry->client->address(entry->flow);
+        const bool isHeld = staying.holds(address) || otherStaying.holds(address);
+        const bool isReset = entry->client->state(entry->flow) == FlowState::Reset && isHeld;
+        resets += isReset ? 1 : 0;
+        unanswered += entry->client->outcome(entry->second).value_or(false) ? 0 : 1;
+        if (isReset) {
+            record.line("flow of " + textOf(address) + " was reset though its server lives and holds it");
+        }
+    }
+    if (asked == 0) {
+        return cannotRun("no flow opened at a server that stays");
+    }
+    return verdict(resets > 0,
+                   std::to_string(asked) + " requests on open flows of servers that live, "
+                       + std::to_string(unanswered) + " unanswered, " + std::to_string(resets)
+                       + " flows reset by the system");
+}
+
+int run(int argc, char **argv)
+{
+    if (argc != 4 || !record.open(argv[2])) {
+        std::fprintf(stderr, "usage: review-standin CASE RECORD DIRECTORY\n");
+        return notRun;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    World world(drawSite(argv[3]));
+    const std::string name = argv[1];
+    if (name == "unreadable-entry") {
+        return runUnreadableEntry(world);
+    }
+    if (name == "stale-opening") {
+        return runStaleOpening(world);
+    }
+    return cannotRun("unknown case " + name);
+}
+
+} // namespace
+
+} // namespace review
+
+int main(int argc, char **argv)
+{
+    const int status = review::run(argc, argv);
+    std::fflush(stdout);
+    std::_Exit(status);
+}
