--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -248,6 +248,148 @@
                        + " flows reset by the system");
 }
 
+// Opens a flow to each of the routes in turn, at 40 a second, and sends a request on each, until `until`.
+void openFlows(World &world, const std::vector<int> &virtualPorts, double until, std::vector<LongFlow> &flows)
+{
+    while (nowSeconds() < until) {
+        const auto number = std::to_string(flows.size());
+        auto &client = *world.clients[flows.size() % world.clients.size()];
+        flows.push_back({.client = &client,
+                         .flow = client.open(virtualPorts[flows.size() % virtualPorts.size()]),
+                         .first = "a" + number,
+                         .second = "b" + number});
+        const auto next = nowSeconds() + 0.025;
+        while (nowSeconds() < next) {
+            sendFirstRequests(flows);
+            sleepFor(0.005);
+        }
+    }
+}
+
+int runReusedAddress(World &world)
+{
+    constexpr int sportello = 8080;
+    constexpr int archivio = 8443;
+    world.site.zones = {"milano-a"};
+    world.addBalancer("milano-a");
+    auto &reused = world.addServer("milano-a", "sportello");
+    world.addServer("milano-a", "sportello");
+    world.addServer("milano-a", "archivio");
+    world.configure(7,
+                    {{.port = sportello, .service = "sportello", .type = "non_idempotent"},
+                     {.port = archivio, .service = "archivio"}});
+    if (!world.start()) {
+        return cannotRun("the balancer did not become ready");
+    }
+    std::vector<LongFlow> flows;
+    const auto begin = nowSeconds();
+    openFlows(world, {sportello, archivio}, begin + 2, flows);
+    auto &agent = *world.agents.front();
+    const double freezeSeconds = std::getenv("FREEZE") != nullptr ? std::atof(std::getenv("FREEZE")) : 4;
+    if (hasTrouble()) {
+        agent.send(SIGSTOP);
+    }
+    const auto frozenAt = nowSeconds();
+    openFlows(world, {sportello, archivio}, frozenAt + 0.1, flows);
+    reused.crash();
+    reused.setService("archivio");
+    constexpr double reuseSeconds = 2;
+    openFlows(world, {sportello, archivio}, nowSeconds() + reuseSeconds, flows);
+    reused.start("i-reused");
+    openFlows(world, {sportello, archivio}, frozenAt + freezeSeconds, flows);
+    if (hasTrouble()) {
+        agent.send(SIGCONT);
+    }
+    openFlows(world, {sportello, archivio}, nowSeconds() + 4, flows);
+    const int openings = reused.openingsTo(sportello);
+    const int runs = reused.runsOf(sportello);
+    const int own = reused.openingsTo(archivio);
+    if (own == 0) {
+        return cannotRun("the new server of archivio got no flow of its own");
+    }
+    return verdict(openings > 0,
+                   "the server of archivio at the reused address took " + std::to_string(openings)
+                       + " opening packets and ran " + std::to_string(runs)
+                       + " requests to sportello, and took " + std::to_string(own)
+                       + " opening packets to archivio");
+}
+
+int runIdleLimit(World &world)
+{
+    constexpr int virtualPort = 8080;
+    world.site.zones = {"milano-a", "milano-b"};
+    world.site.idleTimeoutMs = 50'000;
+    auto &cutBalancer = world.addBalancer("milano-a", CutStoreHost);
+    world.addBalancer("milano-b");
+    for (int i = 0; i < 6; ++i) {
+        world.addServer("milano-b", "sportello");
+    }
+    world.configure(7, {{.port = virtualPort, .service = "sportello", .type = "non_idempotent"}});
+    std::atomic<bool> isCut = false;
+    world.store.serve({world.site.ip(CutStoreHost), world.site.port(StorePort)},
+                      [&] { return isCut.load(); });
+    if (!world.start()) {
+        return cannotRun("the balancers did not become ready");
+    }
+    auto &client = world.clientOf("milano-b");
+    std::vector<LongFlow> flows;
+    for (int i = 0; i < 60; ++i) {
+        const auto number = std::to_string(i);
+        flows.push_back({.client = &client,
+                         .flow = client.open(virtualPort),
+                         .first = "a" + number,
+                         .second = "b" + number});
+        sleepFor(0.02);
+        sendFirstRequests(flows);
+    }
+    sleepFor(1);
+    sendFirstRequests(flows);
+    sleepFor(1);
+    const auto idleSince = nowSeconds();
+    constexpr double idleBeforeCut = 31;
+    sleepFor(idleBeforeCut);
+    constexpr double cutSeconds = 5.5;
+    if (hasTrouble()) {
+        isCut = true;
+        record.line("the store is cut off from " + cutBalancer.name());
+        cutBalancer.send(SIGKILL);
+    }
+    sleepFor(cutSeconds);
+    if (hasTrouble()) {
+        isCut = false;
+        record.line("the cut has healed");
+    }
+    constexpr double contactSeconds = 4;
+    sleepFor(contactSeconds + 1);
+    record.line("the flows have been idle for " + std::to_string(nowSeconds() - idleSince) + " s");
+    int asked = 0;
+    for (auto &entry : flows) {
+        if (entry.client->state(entry.flow) == FlowState::Open) {
+            ++asked;
+            entry.client->request(entry.flow, entry.second, 5);
+        }
+    }
+    sleepFor(5.5);
+    int resets = 0;
+    int unanswered = 0;
+    for (auto &entry : flows) {
+        const auto address = entry.client->address(entry.flow);
+        const bool isHeld = std::any_of(world.servers.begin(), world.servers.end(),
+                                        [&](const auto &server) { return server->holds(address); });
+        const bool isReset = entry.client->state(entry.flow) == FlowState::Reset && isHeld;
+        resets += isReset ? 1 : 0;
+        unanswered += entry.client->outcome(entry.second).value_or(false) ? 0 : 1;
+        if (isReset) {
+            record.line("flow of " + textOf(address) + " was reset though its server lives and holds it");
+        }
+    }
+    return asked == 0
+        ? cannotRun("no flow was open")
+        : verdict(resets > 0,
+                  std::to_string(asked) + " requests on open flows, " + std::to_string(unanswered)
+                      + " unanswered, " + std::to_string(resets) + " flows reset by the system");
+}
+
 int run(int argc, char **argv)
 {
     if (argc != 4 || !record.open(argv[2])) {
@@ -263,6 +405,12 @@
     if (name == "stale-opening") {
         return runStaleOpening(world);
     }
+    if (name == "reused-address") {
+        return runReusedAddress(world);
+    }
+    if (name == "idle-limit") {
+        return runIdleLimit(world);
+    }
     return cannotRun("unknown case " + name);
 }
 
--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -341,14 +341,16 @@
     return bytes.size() == headSize && (bytes[14] & 2) != 0 && get32(bytes.data() + 16) == 0;
 }
 
-void Store::serve(const Address &local, std::function<bool()> refuses)
+void Store::serve(const Address &local, std::function<bool()> isCut)
 {
-    serveHttp(local, [this, refuses = std::move(refuses)](const HttpRequest &request) {
+    serveHttp(local, [this, isCut = std::move(isCut)](const HttpRequest &request) {
         sleepFor(0.004);
-        if (refuses && refuses()) {
-            return HttpReply{.status = 503};
+        if (isCut && isCut()) {
+            return HttpReply{.silent = true};
         }
-        return handle(request);
+        auto reply = handle(request);
+        reply.silent = isCut && isCut();
+        return reply;
     });
 }
 
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -239,7 +239,10 @@
         ::_exit(2);
     }
     m_running = true;
-    record.line("server " + m_name + " starts as " + m_id + ", born " + std::to_string(m_born));
+    m_openings.clear();
+    m_runs.clear();
+    record.line("server " + m_name + " of " + m_service + " starts as " + m_id + ", born "
+                + std::to_string(m_born));
     m_thread = std::thread([this] { run(); });
     m_beats = std::thread([this] { beat(); });
 }
@@ -385,12 +388,13 @@
             }
             return;
         }
-        ++m_openings;
+        ++m_openings[packet.destination.port];
         auto &flow = m_flows[key];
         flow.initial = draw();
         flow.nextFromClient = packet.sequence + 1;
         flow.nextToClient = flow.initial + 1;
-        record.line("server " + m_name + " answers the opening packet of " + textOf(packet.source));
+        record.line("server " + m_name + " of " + m_service + " answers the opening packet of "
+                    + textOf(packet.source) + " to port " + std::to_string(packet.destination.port));
         sendReliably(flow,
                      {.source = packet.destination,
                       .destination = packet.source,
@@ -438,7 +442,9 @@
     constexpr std::string_view idHeader = "Request-Id: ";
     const auto start = packet.data.find(idHeader) + idHeader.size();
     const auto id = packet.data.substr(start, packet.data.find("\r\n", start) - start);
-    record.line("server " + m_name + " runs request " + id);
+    ++m_runs[packet.destination.port];
+    record.line("server " + m_name + " of " + m_service + " runs request " + id + " to port "
+                + std::to_string(packet.destination.port));
     constexpr double workSeconds = 0.015;
     m_work.push_back({.due = nowSeconds() + workSeconds, .flow = key, .id = id});
 }
@@ -470,6 +476,18 @@
         std::count_if(m_flows.begin(), m_flows.end(), [](const auto &entry) { return entry.second.open; }));
 }
 
+int Server::openingsTo(int virtualPort)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_openings[virtualPort];
+}
+
+int Server::runsOf(int virtualPort)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs[virtualPort];
+}
+
 bool Server::holds(const Address &client)
 {
     const std::lock_guard lock(m_mutex);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -36,7 +36,14 @@
 /// Draws a network and ports.
 Site drawSite(const std::string &directory);
 
-enum Host { StoreHost = 1, FirstBalancer = 11, FirstSide = 31, FirstClient = 101, VirtualHost = 201 };
+enum Host {
+    StoreHost = 1,
+    CutStoreHost = 2,
+    FirstBalancer = 11,
+    FirstSide = 31,
+    FirstClient = 101,
+    VirtualHost = 201
+};
 
 enum PortOffset {
     DgramPort = 0,
@@ -111,6 +118,13 @@
 
     /// Begins a new lifetime under `id`.
     void start(const std::string &id);
+
+    /// The next lifetimes belong to another service: the address is used again.
+    void setService(const std::string &service)
+    {
+        m_service = service;
+    }
+
     /// Ends at once and says nothing.
     void crash();
     /// From now on says `draining`; each flow is closed with its next answer.
@@ -120,11 +134,10 @@
 
     int openFlows();
 
-    /// Opening packets and requests of all lifetimes.
-    int openings() const
-    {
-        return m_openings;
-    }
+    /// Opening packets to a virtual port that this lifetime has taken.
+    int openingsTo(int virtualPort);
+    /// Requests on flows to a virtual port that this lifetime has run.
+    int runsOf(int virtualPort);
 
     const std::string &name() const
     {
@@ -184,7 +197,8 @@
     std::atomic<bool> m_running = false;
     std::atomic<bool> m_draining = false;
     std::atomic<bool> m_drainAcknowledged = false;
-    std::atomic<int> m_openings = 0;
+    std::map<int, int> m_openings; ///< By virtual port.
+    std::map<int, int> m_runs;
     std::string m_id;
     std::int64_t m_born = 0;
     std::uint64_t m_sequence = 0;
