--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -314,6 +314,23 @@
                        + " opening packets to archivio");
 }
 
+// Opens flows of one client, and sends a first request on each.
+void openFlowsOf(Client &client, int virtualPort, int count, std::vector<LongFlow> &flows)
+{
+    for (int i = 0; i < count; ++i) {
+        const auto number = std::to_string(i);
+        flows.push_back({.client = &client,
+                         .flow = client.open(virtualPort),
+                         .first = "a" + number,
+                         .second = "b" + number});
+        sleepFor(0.02);
+        sendFirstRequests(flows);
+    }
+    sleepFor(1);
+    sendFirstRequests(flows);
+    sleepFor(1);
+}
+
 int runIdleLimit(World &world)
 {
     constexpr int virtualPort = 8080;
@@ -325,38 +342,23 @@
         world.addServer("milano-b", "sportello");
     }
     world.configure(7, {{.port = virtualPort, .service = "sportello", .type = "non_idempotent"}});
-    std::atomic<bool> isCut = false;
-    world.store.serve({world.site.ip(CutStoreHost), world.site.port(StorePort)},
-                      [&] { return isCut.load(); });
     if (!world.start()) {
         return cannotRun("the balancers did not become ready");
     }
-    auto &client = world.clientOf("milano-b");
     std::vector<LongFlow> flows;
-    for (int i = 0; i < 60; ++i) {
-        const auto number = std::to_string(i);
-        flows.push_back({.client = &client,
-                         .flow = client.open(virtualPort),
-                         .first = "a" + number,
-                         .second = "b" + number});
-        sleepFor(0.02);
-        sendFirstRequests(flows);
-    }
-    sleepFor(1);
-    sendFirstRequests(flows);
-    sleepFor(1);
+    openFlowsOf(world.clientOf("milano-b"), virtualPort, 60, flows);
     const auto idleSince = nowSeconds();
     constexpr double idleBeforeCut = 31;
     sleepFor(idleBeforeCut);
     constexpr double cutSeconds = 5.5;
     if (hasTrouble()) {
-        isCut = true;
+        world.isStoreCut = true;
         record.line("the store is cut off from " + cutBalancer.name());
         cutBalancer.send(SIGKILL);
     }
     sleepFor(cutSeconds);
     if (hasTrouble()) {
-        isCut = false;
+        world.isStoreCut = false;
         record.line("the cut has healed");
     }
     constexpr double contactSeconds = 4;
@@ -390,6 +392,80 @@
                       + " unanswered, " + std::to_string(resets) + " flows reset by the system");
 }
 
+// Sends requests on the flows in turn, one in `pause` seconds, until `until`.
+void sendRequests(std::vector<LongFlow> &flows, double pause, double until)
+{
+    double next = nowSeconds();
+    for (int number = 0; nowSeconds() < until; ++number) {
+        auto &entry = flows[static_cast<std::size_t>(number) % flows.size()];
+        const auto id = entry.second + "-" + std::to_string(number);
+        if (entry.client->state(entry.flow) == FlowState::Open && entry.client->isIdle(entry.flow)) {
+            entry.client->request(entry.flow, id, 4);
+        }
+        next += pause;
+        sleepFor(std::max(0.0, next - nowSeconds()));
+    }
+}
+
+int runRestartInOutage(World &world)
+{
+    constexpr int virtualPort = 8080;
+    world.site.zones = {"milano-a", "milano-b"};
+    world.addBalancer("milano-a");
+    world.addBalancer("milano-b");
+    constexpr int restarted = 3;
+    for (int i = 0; i < 7; ++i) {
+        world.addServer(i < restarted ? "milano-b" : "milano-a", "sportello");
+    }
+    world.configure(7, {{.port = virtualPort, .service = "sportello", .type = "non_idempotent"}});
+    if (!world.start()) {
+        return cannotRun("the balancers did not become ready");
+    }
+    // Flows of milano-a's clients at the servers of milano-b.
+    world.store.put("evacuations", "milano-a", "{}");
+    record.line("operator: evacuation of milano-a acknowledged");
+    sleepFor(2);
+    std::vector<LongFlow> flows;
+    openFlowsOf(world.clientOf("milano-a"), virtualPort, 60, flows);
+    world.store.erase("evacuations", "milano-a");
+    record.line("operator: evacuation of milano-a taken back");
+    sleepFor(4);
+    if (hasTrouble()) {
+        world.isStoreBusy = true;
+        record.line("the store is down: it rejects all calls");
+    }
+    const auto downAt = nowSeconds();
+    constexpr double firstRestart = 0.2;
+    constexpr double gapSeconds = 1.2;
+    constexpr double outageSeconds = 6;
+    for (int i = 0; i < restarted; ++i) {
+        sendRequests(flows, 0.005, downAt + firstRestart + i * gapSeconds);
+        world.agents[static_cast<std::size_t>(i)]->send(SIGTERM);
+    }
+    sendRequests(flows, 0.005, downAt + outageSeconds);
+    world.isStoreBusy = false;
+    record.line("the store is back");
+    sendRequests(flows, 0.005, nowSeconds() + 2);
+    sleepFor(4.5);
+    int resets = 0;
+    int open = 0;
+    for (auto &entry : flows) {
+        const auto address = entry.client->address(entry.flow);
+        const auto state = entry.client->state(entry.flow);
+        open += state == FlowState::Open ? 1 : 0;
+        const bool isHeld = std::any_of(world.servers.begin(), world.servers.end(),
+                                        [&](const auto &server) { return server->holds(address); });
+        if (state == FlowState::Reset && isHeld) {
+            ++resets;
+            record.line("flow of " + textOf(address) + " was reset though its server lives and holds it");
+        }
+    }
+    return open + resets == 0 ? cannotRun("no flow was open")
+                              : verdict(resets > 0,
+                                        std::to_string(resets) + " of " + std::to_string(open + resets)
+                                            + " open flows of servers that live were reset by the system");
+}
+
 int run(int argc, char **argv)
 {
     if (argc != 4 || !record.open(argv[2])) {
@@ -411,6 +487,9 @@
     if (name == "idle-limit") {
         return runIdleLimit(world);
     }
+    if (name == "restart-in-outage") {
+        return runRestartInOutage(world);
+    }
     return cannotRun("unknown case " + name);
 }
 
--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -341,17 +341,21 @@
     return bytes.size() == headSize && (bytes[14] & 2) != 0 && get32(bytes.data() + 16) == 0;
 }
 
-void Store::serve(const Address &local, std::function<bool()> isCut)
-{
-    serveHttp(local, [this, isCut = std::move(isCut)](const HttpRequest &request) {
-        sleepFor(0.004);
-        if (isCut && isCut()) {
-            return HttpReply{.silent = true};
-        }
-        auto reply = handle(request);
-        reply.silent = isCut && isCut();
-        return reply;
-    });
+void Store::serve(const Address &local, std::function<bool()> isCut, std::function<bool()> isBusy)
+{
+    serveHttp(local,
+              [this, isCut = std::move(isCut), isBusy = std::move(isBusy)](const HttpRequest &request) {
+                  sleepFor(0.004);
+                  if (isCut()) {
+                      return HttpReply{.silent = true};
+                  }
+                  if (isBusy()) {
+                      return HttpReply{.status = 503};
+                  }
+                  auto reply = handle(request);
+                  reply.silent = isCut();
+                  return reply;
+              });
 }
 
 std::string Store::encode(const std::string &name, const Object &object)
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -101,8 +101,9 @@
 class Store
 {
 public:
-    /// Answers calls at an address. While `isCut` returns true, nothing gets through: connections hang.
-    void serve(const Address &local, std::function<bool()> isCut = {});
+    /// Answers calls at an address. While `isCut` returns true, nothing gets through: connections hang. While
+    /// `isBusy` does, calls are rejected with 503.
+    void serve(const Address &local, std::function<bool()> isCut, std::function<bool()> isBusy);
     /// Writes an object as the operator or another writer does. `spec` is JSON text and kept as it is.
     void put(const std::string &kind, const std::string &name, const std::string &spec);
     void erase(const std::string &kind, const std::string &name);
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -613,6 +613,12 @@
     return m_flows.at(flow).state;
 }
 
+bool Client::isIdle(int flow)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_flows.at(flow).id.empty();
+}
+
 void Client::send(int port, const Flow &flow, Packet packet)
 {
     packet.source = address(port);
@@ -855,7 +861,13 @@
 
 bool World::start()
 {
-    store.serve({site.ip(StoreHost), site.port(StorePort)});
+    const auto isBusy = [this] {
+        return isStoreBusy.load();
+    };
+    store.serve(
+        {site.ip(StoreHost), site.port(StorePort)}, [] { return false; }, isBusy);
+    store.serve(
+        {site.ip(CutStoreHost), site.port(StorePort)}, [this] { return isStoreCut.load(); }, isBusy);
     for (auto &node : balancers) {
         node->start();
     }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -249,6 +249,8 @@
     Address address(int flow) const;
     /// Sends a request on an open flow. It is answered within the deadline or given up.
     void request(int flow, const std::string &id, double deadline);
+    /// Whether no request is under way.
+    bool isIdle(int flow);
     /// Whether the request was answered; no value while it is under way.
     std::optional<bool> outcome(const std::string &id);
     void close(int flow);
@@ -305,6 +307,8 @@
     std::vector<std::unique_ptr<Server>> servers;
     std::unique_ptr<Router> router;
     std::vector<std::unique_ptr<Client>> clients; ///< One for each zone.
+    std::atomic<bool> isStoreBusy = false; ///< Rejects all calls.
+    std::atomic<bool> isStoreCut = false; ///< From those that use its second address.
 
     explicit World(Site drawn);
     ~World();
