--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -430,22 +430,26 @@
     world.store.erase("evacuations", "milano-a");
     record.line("operator: evacuation of milano-a taken back");
     sleepFor(4);
-    if (hasTrouble()) {
-        world.isStoreBusy = true;
-        record.line("the store is down: it rejects all calls");
-    }
-    const auto downAt = nowSeconds();
-    constexpr double firstRestart = 0.2;
-    constexpr double gapSeconds = 1.2;
-    constexpr double outageSeconds = 6;
-    for (int i = 0; i < restarted; ++i) {
-        sendRequests(flows, 0.005, downAt + firstRestart + i * gapSeconds);
-        world.agents[static_cast<std::size_t>(i)]->send(SIGTERM);
-    }
-    sendRequests(flows, 0.005, downAt + outageSeconds);
-    world.isStoreBusy = false;
-    record.line("the store is back");
-    sendRequests(flows, 0.005, nowSeconds() + 2);
+    constexpr int outages = 2;
+    constexpr double betweenOutages = 6;
+    for (int outage = 0; outage < outages; ++outage) {
+        if (hasTrouble()) {
+            world.isStoreBusy = true;
+            record.line("the store is down: it rejects all calls");
+        }
+        const auto downAt = nowSeconds();
+        constexpr double firstRestart = 0.2;
+        constexpr double gapSeconds = 1.2;
+        constexpr double outageSeconds = 6;
+        for (int i = 0; i < restarted; ++i) {
+            sendRequests(flows, 0.005, downAt + firstRestart + i * gapSeconds);
+            world.agents[static_cast<std::size_t>(i)]->send(SIGTERM);
+        }
+        sendRequests(flows, 0.005, downAt + outageSeconds);
+        world.isStoreBusy = false;
+        record.line("the store is back");
+        sendRequests(flows, 0.005, nowSeconds() + betweenOutages);
+    }
     sleepFor(4.5);
     int resets = 0;
     int open = 0;
