--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -470,6 +470,72 @@
                                             + " open flows of servers that live were reset by the system");
 }
 
+int runLateDeparture(World &world)
+{
+    constexpr int virtualPort = 8080;
+    world.site.zones = {"milano-a"};
+    world.addBalancer("milano-a");
+    auto &server = world.addServer("milano-a", "sportello");
+    world.addServer("milano-a", "sportello");
+    world.configure(7, {{.port = virtualPort, .service = "sportello", .type = "non_idempotent"}});
+    if (!world.start()) {
+        return cannotRun("the balancer did not become ready");
+    }
+    server.drain();
+    sleepFor(4);
+    constexpr double delay = 3;
+    server.leave(hasTrouble() ? delay : 0);
+    sleepFor(1);
+    server.start("i-1");
+    sleepFor(0.5);
+    std::vector<LongFlow> flows;
+    openFlowsOf(world.clientOf("milano-a"), virtualPort, 20, flows);
+    const int before = server.openFlows();
+    world.agents.front()->send(SIGTERM);
+    sleepFor(3);
+    int resets = 0;
+    for (auto &entry : flows) {
+        const bool isHeld = server.holds(entry.client->address(entry.flow));
+        resets += entry.client->state(entry.flow) == FlowState::Reset && isHeld ? 1 : 0;
+    }
+    return verdict(resets > 0,
+                   std::to_string(resets) + " of " + std::to_string(before)
+                       + " open flows of a server that lives were reset by the system");
+}
+
+int runUnreadableEvacuation(World &world)
+{
+    constexpr int virtualPort = 8080;
+    world.site.zones = {"milano-a", "milano-b"};
+    world.addBalancer("milano-a");
+    world.addBalancer("milano-b");
+    for (const auto *zone : {"milano-a", "milano-b", "milano-a", "milano-b"}) {
+        world.addServer(zone, "sportello");
+    }
+    world.configure(7, {{.port = virtualPort, .service = "sportello"}});
+    if (!world.start()) {
+        return cannotRun("the balancers did not become ready");
+    }
+    if (hasTrouble()) {
+        world.store.put("evacuations", "another-writer", R"({"host":"\ud83d"})");
+        record.line("another writer: an entry of kind evacuations");
+    }
+    sleepFor(6);
+    world.store.put("evacuations", "milano-b", "{}");
+    record.line("operator: evacuation of milano-b acknowledged");
+    constexpr double evacuationSeconds = 5;
+    sleepFor(evacuationSeconds);
+    const auto openingsInZone = [&] {
+        return world.servers[1]->openingsTo(virtualPort) + world.servers[3]->openingsTo(virtualPort);
+    };
+    const int before = openingsInZone();
+    sendTraffic(world, "evacuated", 5, virtualPort);
+    const int openings = openingsInZone() - before;
+    return verdict(openings > 0,
+                   std::to_string(openings)
+                       + " opening packets reached the evacuated zone later than 5 s after the ack");
+}
+
 int run(int argc, char **argv)
 {
     if (argc != 4 || !record.open(argv[2])) {
@@ -494,6 +560,12 @@
     if (name == "restart-in-outage") {
         return runRestartInOutage(world);
     }
+    if (name == "late-departure") {
+        return runLateDeparture(world);
+    }
+    if (name == "unreadable-evacuation") {
+        return runUnreadableEvacuation(world);
+    }
     return cannotRun("unknown case " + name);
 }
 
