--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -40,6 +40,7 @@
 {
     int sent = 0;
     int answered = 0;
+    int refused = 0; ///< The flow was not opened, but reset.
 };
 
 // Sends requests on fresh flows from all zones for a while, at 20 a second.
@@ -83,6 +84,7 @@
     Traffic traffic{.sent = static_cast<int>(tries.size())};
     for (const auto &entry : tries) {
         traffic.answered += entry.client->outcome(entry.id).value_or(false) ? 1 : 0;
+        traffic.refused += entry.client->state(entry.flow) == FlowState::Refused ? 1 : 0;
         entry.client->close(entry.flow);
     }
     record.line("traffic " + name + ": sent " + std::to_string(traffic.sent) + ", answered "
@@ -536,6 +538,57 @@
                        + " opening packets reached the evacuated zone later than 5 s after the ack");
 }
 
+int runLargeChanges(World &world)
+{
+    constexpr int changes = 12;
+    constexpr int firstNewPort = 9000;
+    constexpr int idleRoutes = 5000;
+    world.site.zones = {"milano-a", "milano-b"};
+    world.addBalancer("milano-a", CutStoreHost);
+    world.addBalancer("milano-b", CutStoreHost);
+    for (const auto *zone : {"milano-a", "milano-b", "milano-a", "milano-b"}) {
+        world.addServer(zone, "sportello");
+    }
+    std::vector<Route> routes{{.port = 8080, .service = "sportello"}};
+    for (int i = 0; i < idleRoutes; ++i) {
+        routes.push_back({.port = 20'000 + i, .service = "sportello"});
+    }
+    world.configure(7, routes);
+    if (!world.start()) {
+        return cannotRun("the balancers did not become ready");
+    }
+    // Both balancers are a third of the six machines.
+    const auto begin = nowSeconds();
+    constexpr double refusalSeconds = 6;
+    world.isStoreRefusing = hasTrouble();
+    record.line(hasTrouble() ? "the store rejects the balancers" : "the store serves all");
+    sleepFor(1);
+    for (int i = 0; i < changes; ++i) {
+        routes.push_back({.port = firstNewPort + i, .service = "sportello"});
+        world.configure(static_cast<std::uint64_t>(10 + i), routes);
+        sleepFor(0.33);
+    }
+    const auto changedAt = nowSeconds();
+    sleepFor(begin + refusalSeconds - nowSeconds());
+    world.isStoreRefusing = false;
+    record.line("the store serves all");
+    constexpr double contactSeconds = 4;
+    constexpr double applySeconds = 3;
+    sleepFor(std::max(begin + refusalSeconds + contactSeconds, changedAt + applySeconds) + 0.5
+             - nowSeconds());
+    const auto after = nowSeconds() - changedAt;
+    const auto traffic = sendTraffic(world, "new-route", 4, firstNewPort + changes - 1);
+    const auto usual = sendTraffic(world, "old-route", 2, 8080);
+    if (2 * usual.answered < usual.sent) {
+        return cannotRun("the deployment does not serve");
+    }
+    return verdict(traffic.refused > 0,
+                   std::to_string(traffic.refused) + " of " + std::to_string(traffic.sent)
+                       + " openings refused on a route that was added " + std::to_string(after)
+                       + " s before, " + std::to_string(usual.answered) + " of " + std::to_string(usual.sent)
+                       + " requests answered on an old one");
+}
+
 int run(int argc, char **argv)
 {
     if (argc != 4 || !record.open(argv[2])) {
@@ -566,6 +619,9 @@
     if (name == "unreadable-evacuation") {
         return runUnreadableEvacuation(world);
     }
+    if (name == "large-changes") {
+        return runLargeChanges(world);
+    }
     return cannotRun("unknown case " + name);
 }
 
--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -382,8 +382,11 @@
     } else {
         objects.erase(name);
     }
-    m_events.push_back(
-        {.kind = kind, .object = encode(name, object), .revision = m_revision, .deleted = !spec.has_value()});
+    m_events.push_back({.kind = kind,
+                        .object = encode(name, object),
+                        .revision = m_revision,
+                        .deleted = !spec.has_value(),
+                        .at = nowSeconds()});
     m_changed.notify_all();
 }
 
@@ -459,6 +462,14 @@
     const auto wait = request.query.contains("WaitMs") ? std::stol(request.query.at("WaitMs")) : 0;
     std::string events;
     std::unique_lock lock(m_mutex);
+    constexpr double retentionSeconds = 20;
+    while (!m_events.empty() && nowSeconds() - m_events.front().at > retentionSeconds) {
+        m_forgotten = m_events.front().revision;
+        m_events.erase(m_events.begin());
+    }
+    if (after < m_forgotten) {
+        return {.status = 410};
+    }
     m_changed.wait_for(lock, std::chrono::milliseconds(wait), [&] {
         events.clear();
         for (const auto &event : m_events) {
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -125,6 +125,7 @@
         std::string object;
         std::uint64_t revision = 0;
         bool deleted = false;
+        double at = 0;
     };
 
     HttpReply handle(const HttpRequest &request);
@@ -137,7 +138,8 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, std::map<std::string, Object>> m_kinds;
-    std::vector<Event> m_events;
+    std::vector<Event> m_events; ///< Those of the last 20 s, `RetentionS`.
+    std::uint64_t m_forgotten = 0; ///< Revision of the last event that is not kept any more.
     std::uint64_t m_revision = 100;
 };
 
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -855,8 +855,10 @@
                         {"MaxBodyBytes", 262144},
                         {"HeaderTimeoutMs", 3000},
                         {"IdleTimeoutMs", site.idleTimeoutMs}}}};
-    store.put("config", "main", config.dump());
-    record.line("operator: config " + std::to_string(version) + " acknowledged");
+    const auto text = config.dump();
+    store.put("config", "main", text);
+    record.line("operator: config " + std::to_string(version) + " of " + std::to_string(text.size())
+                + " bytes acknowledged");
 }
 
 bool World::start()
@@ -867,7 +869,8 @@
     store.serve(
         {site.ip(StoreHost), site.port(StorePort)}, [] { return false; }, isBusy);
     store.serve(
-        {site.ip(CutStoreHost), site.port(StorePort)}, [this] { return isStoreCut.load(); }, isBusy);
+        {site.ip(CutStoreHost), site.port(StorePort)}, [this] { return isStoreCut.load(); },
+        [this] { return isStoreBusy || isStoreRefusing; });
     for (auto &node : balancers) {
         node->start();
     }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -308,6 +308,7 @@
     std::unique_ptr<Router> router;
     std::vector<std::unique_ptr<Client>> clients; ///< One for each zone.
     std::atomic<bool> isStoreBusy = false; ///< Rejects all calls.
+    std::atomic<bool> isStoreRefusing = false; ///< Rejects the calls of those that use its second address.
     std::atomic<bool> isStoreCut = false; ///< From those that use its second address.
 
     explicit World(Site drawn);
