--- a/review/standin/main.cc
+++ b/review/standin-main.cc
@@ -5,7 +5,7 @@
 #include <csignal>
 #include <cstdlib>
 
-#include "world.h"
+#include "standin-world.h"
 
 namespace review {
 
--- a/review/standin/net.cc
+++ b/review/standin-net.cc
@@ -1,4 +1,4 @@
-#include "net.h"
+#include "standin-net.h"
 
 #include <algorithm>
 #include <cstring>
@@ -196,7 +196,7 @@
 
 bool Record::open(const std::string &path)
 {
-    m_file = std::fopen(path.c_str(), "w");
+    m_file = std::fopen(path.c_str(), "a");
     return m_file != nullptr;
 }
 
--- a/review/standin/world.cc
+++ b/review/standin-world.cc
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "standin-world.h"
 
 #include <algorithm>
 #include <csignal>
--- a/review/standin/world.h
+++ b/review/standin-world.h
@@ -8,7 +8,7 @@
 
 #include <sys/types.h>
 
-#include "net.h"
+#include "standin-net.h"
 
 namespace review {
 
