Resets of flows on lost hosts state the holder and the evidence for it

Cause: a balancer that resets an open flow because its holder's host is lost logged the same `flow_reset cause=not_held` as one whose search has shown that nobody holds the flow.

Change: the cause holder_lost, with server, its state, the age of its report and the evidence that it had the flow (none, noted, answered); explain says it. Decisions are unchanged. Three expectations of steering-test name the new cause where they named not_held; they check the same reset.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -174,6 +174,15 @@
     std::vector<BackendIndex> unresponsive;
 };
 
+/// Why an agent is taken for the holder of a flow.
+enum class HolderEvidence : std::uint8_t {
+    None, ///< Chosen by this balancer; no server has shown that it has the flow.
+    Noted, ///< An agent has a note of it.
+    Answered, ///< The caller has acknowledged an answer since it was chosen.
+};
+
+std::string_view toString(HolderEvidence evidence);
+
 /// What to do with a packet.
 enum class SteeringAction : std::uint8_t {
     Forward, ///< Send it to an agent for its server.
@@ -193,6 +202,7 @@
     NoRoute, ///< The configuration has no route for the virtual address.
     NoServer, ///< No server of the route accepts a new flow.
     NotHeld, ///< No server holds the flow.
+    HolderLost, ///< The flow's holder has left, or its host is lost.
     Undecided, ///< No server is known to hold the flow, but some could not be ruled out.
     Overloaded, ///< No server of the service can start a request in the time that the caller has left.
     NotFromCaller, ///< Callers do not send such packets.
@@ -217,12 +227,14 @@
 {
     SteeringAction action = SteeringAction::Drop;
     SteeringCause cause = SteeringCause::NotReady;
-    BackendIndex backend = noBackend; ///< Receiver for `Forward` and `QueryNote`.
+    BackendIndex backend
+        = noBackend; ///< Receiver for `Forward` and `QueryNote`; the holder for `HolderLost`.
     /// Send notes that `backend` holds the flow to the first `noteReplicaCount` agents of `noteAgentsFor`.
     bool mustSendNotes = false;
     bool mayReturnBusy = false; ///< Of an opening packet: see `PeerHeader::mayReturnBusy`.
     ServiceId service; ///< Service that an opening packet is for; unset for other packets.
     UndecidedAgents undecidedAgents; ///< Set when a search ends as `Undecided`.
+    HolderEvidence evidence = HolderEvidence::None; ///< Set for `HolderLost`.
 };
 
 /// What stays in force for `SteeringOptions::eraHoldTime` although the store, come back from an older copy,
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -119,6 +119,12 @@
         return fmt::format("{} reset the flow: no server holds it, its server has left or restarted",
                            event.node);
     }
+    if (cause == "holder_lost") {
+        return fmt::format(
+            "{} reset the flow: its server {} has left or its host is lost; evidence that it had "
+            "the flow: {}",
+            event.node, fieldText(event.fields, "server"), fieldText(event.fields, "evidence"));
+    }
     return fmt::format("{} reset the flow: {}", event.node, cause);
 }
 
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -396,6 +396,13 @@
                     undecidedAgents.staleReports);
         return;
     }
+    if (decision.cause == SteeringCause::HolderLost) {
+        const auto &holder = m_state.backends[decision.backend];
+        m_log.write(m_now, "flow_reset", "flow", flow, "cause", cause, "server", holder.host, "state",
+                    toString(holder.report.state), "evidence", toString(decision.evidence), "report_age_ms",
+                    m_now - holder.reportedAt, "version", m_state.table.version, "opening", false);
+        return;
+    }
     if (decision.action == SteeringAction::Reset || decision.action == SteeringAction::Drop) {
         m_log.write(m_now, decision.action == SteeringAction::Reset ? "flow_reset" : "packet_dropped", "flow",
                     flow, "cause", cause, "version", m_state.table.version, "opening", segment.opens());
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -216,6 +216,13 @@
         && !isIsolated(state, now);
 }
 
+HolderEvidence evidenceOf(const SteeredFlow &flow)
+{
+    return flow.isAnswerAcknowledged ? HolderEvidence::Answered
+        : flow.areNotesSent          ? HolderEvidence::Noted
+                                     : HolderEvidence::None;
+}
+
 // Forwards a packet to the known holder. An acknowledgement that differs from the first one shows that the
 // caller has had an answer, and so that the holder's server has the flow.
 SteeringDecision forwardToHolder(SteeredFlow &flow, const Segment &segment)
@@ -330,6 +337,8 @@
         return "no_server";
     case SteeringCause::NotHeld:
         return "not_held";
+    case SteeringCause::HolderLost:
+        return "holder_lost";
     case SteeringCause::Undecided:
         return "undecided";
     case SteeringCause::Overloaded:
@@ -340,6 +349,19 @@
     return "unknown";
 }
 
+std::string_view toString(HolderEvidence evidence)
+{
+    switch (evidence) {
+    case HolderEvidence::None:
+        return "none";
+    case HolderEvidence::Noted:
+        return "noted";
+    case HolderEvidence::Answered:
+        return "answered";
+    }
+    return "unknown";
+}
+
 BackendIndex findOrAddBackend(SteeringState &state, const IpAddress &host, TimePoint now)
 {
     const auto next = static_cast<BackendIndex>(state.backends.size());
@@ -530,8 +552,12 @@
     if (flow.holder != noBackend && flow.isHolderKnown
         && (isDecommissioned(state, state.backends[flow.holder], now)
             || isHostLost(state, state.backends[flow.holder], now))) {
+        const SteeringDecision decision{.action = SteeringAction::Reset,
+                                        .cause = SteeringCause::HolderLost,
+                                        .backend = flow.holder,
+                                        .evidence = evidenceOf(flow)};
         state.flows.erase(found);
-        return reset(SteeringCause::NotHeld);
+        return decision;
     }
     if (flow.holder != noBackend) {
         return flow.isHolderKnown ? forwardToHolder(flow, segment)
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -1080,7 +1080,7 @@
     reportOthers();
     EXPECT_EQ(data(1).action, SteeringAction::Forward) << "the agent may be restarting";
     now += milliseconds(1);
-    EXPECT_EQ(data(1).cause, SteeringCause::NotHeld);
+    EXPECT_EQ(data(1).cause, SteeringCause::HolderLost);
 }
 
 // Guards against resets of open flows when an agent is asked to report more often and that hello is lost: its
@@ -1104,7 +1104,7 @@
     EXPECT_EQ(decision.cause, SteeringCause::Undecided) << "its server may hold the unknown flow";
     now += state.options.restartTimeout;
     reportOthers();
-    EXPECT_EQ(data(1).cause, SteeringCause::NotHeld) << "several hellos were sent since";
+    EXPECT_EQ(data(1).cause, SteeringCause::HolderLost) << "several hellos were sent since";
 }
 
 // Guards against resets of open flows by a small balancer whose receive queue has overflowed, so that it has
@@ -1124,7 +1124,7 @@
     EXPECT_EQ(data(1).action, SteeringAction::Forward);
     now += milliseconds(1);
     reportOthers();
-    EXPECT_EQ(data(1).cause, SteeringCause::NotHeld) << "it has kept up for as long as a restart takes";
+    EXPECT_EQ(data(1).cause, SteeringCause::HolderLost) << "it has kept up for as long as a restart takes";
 }
 
 TEST_F(SteeringTest, ABalancerThatHearsNoAgentResetsNoFlowOfALostHost)
