A flow on a lost host is reset only if the host's server was known to have it

Callers saw: resets of flows that were open at calm servers. A balancer stood still for 4 s, placed the opening packets that it found then, and 7.5 s later reset the flows when the server that it had chosen left; a copy of each packet had long opened the flow at another server through another balancer.

Cause: placeFlow kept the chosen server as a known holder. steerCallerPacket resets a flow whose known holder is lost or gone without a search.

Change: such a reset needs a confirmed holder, that is an answer acknowledged by the caller and a later report of the holder's agent. Otherwise the flow is searched and reset once no agent can have it; holder_unconfirmed is logged. On the related path a note that names a lost host leads to no reset either.

Why it works: a flow never moves, so that a server which has answered its caller has it. A server that was only chosen is treated as the search treats any other lost host: the reachable agents must exclude the flow first.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -150,10 +150,11 @@
     BackendIndex holder = noBackend;
     TimePoint lastPacketAt{}; ///< When the caller's last packet came.
     TimePoint openedAt{}; ///< When the first opening packet came; zero if a search found the flow.
-    bool isHolderKnown = true; ///< False during a search and after one that found no holder.
+    /// False during a search and after one that found no holder. A holder that was only chosen for the
+    /// opening packet, or named by a note, may turn out not to have the flow, see `isHolderConfirmed`.
+    bool isHolderKnown = true;
     bool isNoteQueryPending = false; ///< The search is querying `holder` for a note.
     bool hasOfferedAcknowledgement = false; ///< `offeredAcknowledgement` is set.
-    bool isAnswerAcknowledged = false; ///< The caller has acknowledged data of the holder's server.
     bool areNotesSent = false; ///< Agents keep notes of the holder.
     bool isUnresolved = false; ///< The flow's key is in `SteeringState::unresolvedFlows`.
     std::uint8_t undecidedSearches = 0; ///< Consecutive searches that stayed undecided.
@@ -163,6 +164,9 @@
     /// Acknowledgement of the packet that the holder got first; a different one in a later packet shows that
     /// the holder's server has answered.
     std::uint32_t offeredAcknowledgement = 0;
+    /// When the caller first acknowledged an answer after its packets had gone to the holder; zero if it has
+    /// not.
+    TimePoint answeredAt{};
     TimePoint offeredAt{}; ///< When the search offered a packet last, or queried for a note.
     TimePoint searchEndedAt{}; ///< When the last search ended without a holder.
     TimePoint
@@ -174,15 +178,6 @@
     std::vector<BackendIndex> unresponsive;
 };
 
-/// Why an agent is taken for the holder of a flow.
-enum class HolderEvidence : std::uint8_t {
-    None, ///< Chosen by this balancer; no server has shown that it has the flow.
-    Noted, ///< An agent has a note of it.
-    Answered, ///< The caller has acknowledged an answer since it was chosen.
-};
-
-std::string_view toString(HolderEvidence evidence);
-
 /// What to do with a packet.
 enum class SteeringAction : std::uint8_t {
     Forward, ///< Send it to an agent for its server.
@@ -234,7 +229,10 @@
     bool mayReturnBusy = false; ///< Of an opening packet: see `PeerHeader::mayReturnBusy`.
     ServiceId service; ///< Service that an opening packet is for; unset for other packets.
     UndecidedAgents undecidedAgents; ///< Set when a search ends as `Undecided`.
-    HolderEvidence evidence = HolderEvidence::None; ///< Set for `HolderLost`.
+    TimePoint answeredAt{}; ///< Set for `HolderLost`, see `SteeredFlow::answeredAt`.
+    /// The lost host that the flow's packets went to until now, without evidence that its server had the
+    /// flow. Set when a search starts for that reason.
+    BackendIndex unconfirmedHolder = noBackend;
 };
 
 /// What stays in force for `SteeringOptions::eraHoldTime` although the store, come back from an older copy,
@@ -382,7 +380,14 @@
 std::array<BackendIndex, noteQueryCount> noteAgentsFor(const SteeringState &state, const FlowKey &flow,
                                                        TimePoint now);
 
-/// Decides about a packet that came from a caller.
+/// Whether the holder's server has shown that it has the flow: the caller has acknowledged an answer, and the
+/// holder's agent has reported since and not returned the caller's packets. Without that the flow may be open
+/// at another server, as its opening packet may have been delayed here while a copy went through another
+/// balancer.
+bool isHolderConfirmed(const SteeringState &state, const SteeredFlow &flow);
+
+/// Decides about a packet that came from a caller. A flow on a lost host is reset at once if its holder is
+/// confirmed, and searched otherwise.
 SteeringDecision steerCallerPacket(SteeringState &state, const Segment &segment, TimePoint now);
 
 /// Records that a busy server's agent returned an opening packet, and how many requests the server has.
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -120,10 +120,8 @@
                            event.node);
     }
     if (cause == "holder_lost") {
-        return fmt::format(
-            "{} reset the flow: its server {} has left or its host is lost; evidence that it had "
-            "the flow: {}",
-            event.node, fieldText(event.fields, "server"), fieldText(event.fields, "evidence"));
+        return fmt::format("{} reset the flow: its server {} has left or its host is lost", event.node,
+                           fieldText(event.fields, "server"));
     }
     return fmt::format("{} reset the flow: {}", event.node, cause);
 }
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -399,10 +399,16 @@
     if (decision.cause == SteeringCause::HolderLost) {
         const auto &holder = m_state.backends[decision.backend];
         m_log.write(m_now, "flow_reset", "flow", flow, "cause", cause, "server", holder.host, "state",
-                    toString(holder.report.state), "evidence", toString(decision.evidence), "report_age_ms",
-                    m_now - holder.reportedAt, "version", m_state.table.version, "opening", false);
+                    toString(holder.report.state), "answered_ms_ago", m_now - decision.answeredAt,
+                    "report_age_ms", m_now - holder.reportedAt, "version", m_state.table.version, "opening",
+                    false);
         return;
     }
+    if (decision.unconfirmedHolder != noBackend) {
+        const auto &holder = m_state.backends[decision.unconfirmedHolder];
+        m_log.write(m_now, "holder_unconfirmed", "flow", flow, "server", holder.host, "state",
+                    toString(holder.report.state), "report_age_ms", m_now - holder.reportedAt);
+    }
     if (decision.action == SteeringAction::Reset || decision.action == SteeringAction::Drop) {
         m_log.write(m_now, decision.action == SteeringAction::Reset ? "flow_reset" : "packet_dropped", "flow",
                     flow, "cause", cause, "version", m_state.table.version, "opening", segment.opens());
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -216,25 +216,37 @@
         && !isIsolated(state, now);
 }
 
-HolderEvidence evidenceOf(const SteeredFlow &flow)
+// Whether flows of the agent's server have ended, or cannot be reached for longer than a restart takes.
+bool isServerLost(const SteeringState &state, const Backend &backend, TimePoint now)
 {
-    return flow.isAnswerAcknowledged ? HolderEvidence::Answered
-        : flow.areNotesSent          ? HolderEvidence::Noted
-                                     : HolderEvidence::None;
+    return isDecommissioned(state, backend, now) || isHostLost(state, backend, now);
+}
+
+// Forgets a holder that has turned out wrong or is lost, so that the next packet starts a search.
+void forgetHolder(SteeredFlow &flow)
+{
+    flow.holder = noBackend;
+    flow.isHolderKnown = false;
+    flow.areNotesSent = false;
+    flow.answeredAt = {};
+    flow.unresponsive.clear();
 }
 
 // Forwards a packet to the known holder. An acknowledgement that differs from the first one shows that the
 // caller has had an answer, and so that the holder's server has the flow.
-SteeringDecision forwardToHolder(SteeredFlow &flow, const Segment &segment)
+SteeringDecision forwardToHolder(SteeredFlow &flow, const Segment &segment, TimePoint now)
 {
     auto decision = forward(SteeringCause::Known, flow.holder);
     if (!flow.hasOfferedAcknowledgement) {
         flow.hasOfferedAcknowledgement = true;
         flow.offeredAcknowledgement = segment.acknowledgement;
     }
-    flow.isAnswerAcknowledged |= segment.acknowledgement != flow.offeredAcknowledgement;
-    decision.mustSendNotes = flow.isAnswerAcknowledged && !flow.areNotesSent;
-    flow.areNotesSent |= flow.isAnswerAcknowledged;
+    if (flow.answeredAt == TimePoint{} && segment.acknowledgement != flow.offeredAcknowledgement) {
+        flow.answeredAt = now;
+    }
+    const bool isAnswered = flow.answeredAt != TimePoint{};
+    decision.mustSendNotes = isAnswered && !flow.areNotesSent;
+    flow.areNotesSent |= isAnswered;
     return decision;
 }
 
@@ -260,10 +272,10 @@
     }
     if (segment.acknowledgement != flow.offeredAcknowledgement) {
         endSearch(flow);
-        flow.isAnswerAcknowledged = true;
+        flow.answeredAt = now;
         flow.searchStartedAt = {};
         flow.rejectedBy.clear();
-        return forwardToHolder(flow, segment);
+        return forwardToHolder(flow, segment, now);
     }
     if (!isRetransmission) {
         return forward(SteeringCause::Known, flow.holder);
@@ -282,7 +294,9 @@
         return flow.isNoteQueryPending ? queryNote(flow, flow.holder)
                                        : forward(SteeringCause::Known, flow.holder);
     }
-    if (notedHolder == noBackend || contains(flow.rejectedBy, notedHolder)) {
+    // A note is no evidence that allows a reset: with its holder lost, the other agents decide.
+    if (notedHolder == noBackend || contains(flow.rejectedBy, notedHolder)
+        || isServerLost(state, state.backends[notedHolder], now)) {
         return continueSearch(state, route, flow, segment, now);
     }
     endSearch(flow);
@@ -349,19 +363,6 @@
     return "unknown";
 }
 
-std::string_view toString(HolderEvidence evidence)
-{
-    switch (evidence) {
-    case HolderEvidence::None:
-        return "none";
-    case HolderEvidence::Noted:
-        return "noted";
-    case HolderEvidence::Answered:
-        return "answered";
-    }
-    return "unknown";
-}
-
 BackendIndex findOrAddBackend(SteeringState &state, const IpAddress &host, TimePoint now)
 {
     const auto next = static_cast<BackendIndex>(state.backends.size());
@@ -521,6 +522,12 @@
     return ranking.best;
 }
 
+bool isHolderConfirmed(const SteeringState &state, const SteeredFlow &flow)
+{
+    return flow.holder != noBackend && flow.answeredAt != TimePoint{}
+    && state.backends[flow.holder].reportedAt > flow.answeredAt + maxReportTransit;
+}
+
 SteeringDecision steerCallerPacket(SteeringState &state, const Segment &segment, TimePoint now)
 {
     if (segment.returned || (segment.syn && segment.ack)) {
@@ -547,20 +554,26 @@
         state.flows.erase(found);
         return forward(SteeringCause::Known, holder);
     }
-    // The caller of a flow on a lost host would wait until its deadline; after a reset it can open another
-    // one.
-    if (flow.holder != noBackend && flow.isHolderKnown
-        && (isDecommissioned(state, state.backends[flow.holder], now)
-            || isHostLost(state, state.backends[flow.holder], now))) {
+    const bool isHolderLost = flow.holder != noBackend && flow.isHolderKnown
+        && isServerLost(state, state.backends[flow.holder], now);
+    if (isHolderLost && isHolderConfirmed(state, flow)) {
+        // The caller would wait until its deadline; after a reset it can open another flow.
         const SteeringDecision decision{.action = SteeringAction::Reset,
                                         .cause = SteeringCause::HolderLost,
                                         .backend = flow.holder,
-                                        .evidence = evidenceOf(flow)};
+                                        .answeredAt = flow.answeredAt};
         state.flows.erase(found);
         return decision;
     }
+    if (isHolderLost) {
+        const auto lostHolder = flow.holder;
+        forgetHolder(flow);
+        auto decision = continueSearch(state, route->second, flow, segment, now);
+        decision.unconfirmedHolder = lostHolder;
+        return decision;
+    }
     if (flow.holder != noBackend) {
-        return flow.isHolderKnown ? forwardToHolder(flow, segment)
+        return flow.isHolderKnown ? forwardToHolder(flow, segment, now)
                                   : steerDuringSearch(state, route->second, flow, segment, now);
     }
     if (!isNew && now - flow.searchEndedAt < searchDelay(state, flow)) {
@@ -640,7 +653,7 @@
         flow.unresponsive.clear();
     }
     flow.areNotesSent = false;
-    flow.isAnswerAcknowledged = false;
+    flow.answeredAt = {};
     return continueSearch(state, route->second, flow, segment, now);
 }
 
