A late copy of its opening packet does not end an open flow at the agent

Callers would see: a reset of an open flow after a balancer that stood still has delivered a copy of its opening packet to the same server.

Cause: deliverOpening marked the flow as unanswered again. If the server returned the copy, being full by then, the agent forgot the flow, and as it knows all flows of its server it returned the next packet as not held. If the server repeated its SYN+ACK, the flow counted as half open: a caller that had received more than 76,800 bytes was returned as not held, and a restart of the server reset no such flow.

Change: the gate keeps whether the caller has acknowledged the SYN+ACK (isOpen). A SYN+ACK with another sequence opens it anew.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -93,8 +93,10 @@
 /// A flow of the server.
 struct HeldFlow
 {
-    std::uint32_t serverInitialSequence = 0; ///< Sequence of the server's SYN+ACK; valid while `halfOpen`.
+    /// Sequence of the server's SYN+ACK; valid while `halfOpen` or `isOpen`.
+    std::uint32_t serverInitialSequence = 0;
     bool halfOpen = false; ///< The server has answered the opening packet, the caller has not acknowledged.
+    bool isOpen = false; ///< The caller has acknowledged the server's SYN+ACK.
     bool openingUnanswered = false; ///< An opening packet was delivered and not answered.
     bool callerClosed = false; ///< The caller has sent its FIN.
     bool serverClosed = false; ///< The server has sent its FIN.
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -197,7 +197,8 @@
         flow.openingDeliveredAt = now;
     }
     flow.callerDueSince = {};
-    flow.openingUnanswered = !flow.halfOpen;
+    // A late copy for an open flow changes nothing, whatever the server answers.
+    flow.openingUnanswered = !flow.halfOpen && !flow.isOpen;
     flow.lastPacketAt = now;
     if (terms != RouteTerms{}) {
         flow.terms = terms;
@@ -484,6 +485,7 @@
     if (flow.halfOpen && segment.ack && !acknowledgesOpening(flow, segment)) {
         return returnDecision(ReturnReason::NotHeld);
     }
+    flow.isOpen |= flow.halfOpen && segment.ack;
     flow.halfOpen = false;
     flow.openingUnanswered = false;
     flow.lastPacketAt = now;
@@ -582,7 +584,9 @@
         if (flow.openingUnanswered) {
             latencies.opening = now - flow.openingDeliveredAt;
         }
-        flow.halfOpen = true;
+        // The server repeats its answer for a late copy of the opening packet of an open flow.
+        flow.isOpen &= segment.sequence == flow.serverInitialSequence;
+        flow.halfOpen = !flow.isOpen;
         flow.openingUnanswered = false;
         flow.serverInitialSequence = segment.sequence;
     }
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -299,6 +299,34 @@
     EXPECT_TRUE(state.flows.empty());
 }
 
+// Guards against resets of open flows: a balancer that stood still sends a late copy of the opening packet,
+// and the server, which is full by now, returns the copy.
+TEST_F(ServerGateTest, ALateCopyOfItsOpeningDoesNotEndAnOpenFlow)
+{
+    apply(makeHeartbeat(1));
+    admitOpening();
+    acceptOpening();
+    admitData();
+    admitOpening();
+    EXPECT_EQ(recordReturnedPacket(state, callerPacket(true)), ReturnReason::Full);
+    EXPECT_EQ(admitData().action, GateAction::Deliver);
+}
+
+// The same for a server that repeats its answer, when the flow has carried more than a window of data since.
+TEST_F(ServerGateTest, ARepeatedAnswerToItsOpeningDoesNotEndAnOpenFlow)
+{
+    apply(makeHeartbeat(1));
+    admitOpening();
+    acceptOpening();
+    admitData();
+    admitOpening();
+    acceptOpening();
+    auto later = callerPacket(false);
+    later.acknowledgement += 10 * sequenceWindow;
+    EXPECT_EQ(admit(state, later, service, now).action, GateAction::Deliver);
+    EXPECT_EQ(removeAllFlows(state, now).size(), 1U) << "its caller learns when the server has ended";
+}
+
 TEST_F(ServerGateTest, RequestsInWorkAreCounted)
 {
     makeReady();
