One unreadable entry of the store no longer takes the others with it

Cause: StoreClient decoded each answer as one JSON document. A text, number or byte that the decoder refuses anywhere discarded the whole list or watch, and the same call was made again for ever. Log: entry_failed "the store's answer for the list of "oriolelever-agents" is malformed" at each restart and no agents_listed after it; without the entry the same list is read.

Change: json-parts splits an answer by brackets and quotes alone, each object's meta and value are decoded by themselves. A value that cannot be decoded or is nested deeper than 64 is null, an object without a readable name or revision is passed over; objects_unreadable logs kind, count and first name.

Why it works: the store answers with JSON whose brackets and quotes match, so that the extent of each object is known whatever it holds; a text that ends early is refused as before (JsonPartsTest).

--- a/fuzz/wire-fuzz.cc
+++ b/fuzz/wire-fuzz.cc
@@ -1,8 +1,11 @@
 // Decoders of what comes from the users' platform, its backend servers and other nodes.
 #include <cstdlib>
 
+#include <nlohmann/json.hpp>
+
 #include "boot-settings.h"
 #include "documents.h"
+#include "oriolelever/json-parts.h"
 #include "oriolelever/peer-message.h"
 #include "wire-packet.h"
 
@@ -73,6 +76,14 @@
         [](const Error &error) { require(!error.text.empty()); });
 }
 
+void readParts(const std::string &text)
+{
+    const auto whole = nlohmann::json::parse(text, nullptr, false);
+    require(!whole.is_object() || decodeMembers(text).is_object());
+    const auto elements = splitArray(text);
+    require(!whole.is_array() || (elements && elements->size() == whole.size()));
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
@@ -80,6 +91,8 @@
     const std::span<const std::uint8_t> bytes(data, size);
     readPacket(bytes);
     readMessages(bytes);
-    readDocuments(std::string(reinterpret_cast<const char *>(data), size));
+    const std::string text(reinterpret_cast<const char *>(data), size);
+    readDocuments(text);
+    readParts(text);
     return 0;
 }
--- /dev/null
+++ b/test/json-parts-test.cc
@@ -0,0 +1,69 @@
+#include "oriolelever/json-parts.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace oriolelever {
+namespace {
+
+TEST(JsonPartsTest, MembersAndElementsAreSplitByBracketsAndQuotesAlone)
+{
+    const std::string text = R"( {"a" : [1, {"b":"]}\""}, "\ud83d", 1e400] , "c":null,"a\"":{}} )";
+    const auto members = splitObject(text);
+    ASSERT_TRUE(members);
+    ASSERT_EQ(members->size(), 3U);
+    EXPECT_EQ(memberText(*members, "c"), "null");
+    EXPECT_EQ((*members)[2].name, R"(a\")");
+    EXPECT_EQ(memberText(*members, "d"), "");
+    const auto elements = splitArray(memberText(*members, "a"));
+    ASSERT_TRUE(elements);
+    const std::vector<std::string_view> expected{"1", R"({"b":"]}\""})", R"("\ud83d")", "1e400"};
+    EXPECT_EQ(*elements, expected);
+}
+
+// Guards against an answer that broke off halfway being taken for a shorter one that is whole.
+TEST(JsonPartsTest, ATextThatEndsEarlyIsNotSplit)
+{
+    const std::string object = R"({"a":[1,"x"],"b":{"c":2}})";
+    const std::string array = R"([1,"x",{"c":[2]}])";
+    ASSERT_TRUE(splitObject(object));
+    ASSERT_TRUE(splitArray(array));
+    for (std::size_t size = 0; size < object.size(); ++size) {
+        EXPECT_FALSE(splitObject(object.substr(0, size))) << size;
+    }
+    for (std::size_t size = 0; size < array.size(); ++size) {
+        EXPECT_FALSE(splitArray(array.substr(0, size))) << size;
+    }
+    for (const auto *text : {"{}x", "{,}", R"({"a"})", R"({"a":})", R"({a:1})", R"({"a":1,})", "[]"}) {
+        EXPECT_FALSE(splitObject(text)) << text;
+    }
+    for (const auto *text : {"[]x", "[,]", "[1,]", "[1 2]", "{}"}) {
+        EXPECT_FALSE(splitArray(text)) << text;
+    }
+}
+
+// Guards against a value of another writer that ends the process, or takes other values with it.
+TEST(JsonPartsTest, EachMemberIsDecodedByItself)
+{
+    constexpr std::size_t depth = 1'000'000;
+    const std::string text = R"({"name":"a","text":"\ud83d","number":1e400,"byte":")"
+                             "\xff"
+                             R"(","nested":)"
+        + std::string(depth, '[') + std::string(depth, ']') + R"(,"crossed":[}})";
+    const auto json = decodeMembers(text);
+    ASSERT_TRUE(json.is_object());
+    EXPECT_EQ(json["name"], "a");
+    for (const auto *name : {"text", "number", "byte", "nested", "crossed"}) {
+        EXPECT_TRUE(json[name].is_null()) << name;
+    }
+    EXPECT_TRUE(decodeMembers("[1]").is_discarded());
+    EXPECT_TRUE(decodeJson("").is_discarded());
+    EXPECT_FALSE(decodeJson(std::string(maxJsonDepth, '[') + std::string(maxJsonDepth, ']')).is_discarded());
+    EXPECT_TRUE(
+        decodeJson(std::string(maxJsonDepth + 1, '[') + std::string(maxJsonDepth + 1, ']')).is_discarded());
+}
+
+} // namespace
+} // namespace oriolelever
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -220,6 +220,79 @@
     EXPECT_EQ(wait(listed).error().code, Code::PlatformRefused);
 }
 
+// What another writer may leave as the value of an entry.
+std::vector<std::string> unreadableValues()
+{
+    return {R"({"host":"\ud83d"})", R"({"host":1e400})", "{\"host\":\"\xff\"}",
+            std::string(60'000, '[') + std::string(60'000, ']')};
+}
+
+std::string storedText(const std::string &name, int revision, const std::string &spec)
+{
+    return R"({"meta":{"Name":")" + name + R"(","Rev":)" + std::to_string(revision) + R"(},"spec":)" + spec
+        + "}";
+}
+
+// Guards against balancers that stay out of service after a restart, as one entry of another writer makes
+// them discard the list of all agents.
+TEST_F(StoreClientTest, AnUnreadableEntryLeavesTheOthersInAList)
+{
+    std::size_t reported = 0;
+    client->unreadableFound = [&](const std::string &, const UnreadableObjects &objects) {
+        reported += objects.count;
+    };
+    for (const auto &value : unreadableValues()) {
+        replies.push_back(
+            {.status = 200,
+             .body = R"({"items":[)" + storedText("a", 3, R"({"host":"10.1.0.8"})") + ","
+                 + storedText("b", 4, value) + R"(,{"meta":{"Name":"\ud83d","Rev":5},"spec":1},)"
+                 + storedText("c", 6, R"({"host":"10.1.0.9"})") + R"(],"More":false,"StoreRevision":9})"});
+        std::optional<Answer<ObjectList>> listed;
+        client->list("agents", storeIn(listed));
+        const auto list = wait(listed);
+        ASSERT_TRUE(list) << value.substr(0, 20);
+        ASSERT_EQ(list.value().objects.size(), 3U);
+        EXPECT_EQ(list.value().objects[0].value["host"], "10.1.0.8");
+        EXPECT_TRUE(list.value().objects[1].value.is_null());
+        EXPECT_EQ(list.value().objects[2].value["host"], "10.1.0.9");
+    }
+    EXPECT_EQ(reported, 2 * unreadableValues().size());
+}
+
+// Guards against evacuations that never come into force, as the watch that tells of them fails again and
+// again.
+TEST_F(StoreClientTest, AnUnreadableEntryLeavesTheOthersInAWatch)
+{
+    for (const auto &value : unreadableValues()) {
+        replies.push_back({.status = 200,
+                           .body = R"({"events":[{"Object":)" + storedText("odd", 4, value)
+                               + R"(,"Deleted":false},{"Object":{"meta":7}},{"Object":)"
+                               + storedText("bergamo", 5, "{}") + R"(,"Deleted":true}],"StoreRevision":5})"});
+        std::optional<Answer<WatchBatch>> watched;
+        client->watch({"evacuations"}, {.revision = 3}, milliseconds(1000), storeIn(watched));
+        const auto batch = wait(watched);
+        ASSERT_TRUE(batch) << value.substr(0, 20);
+        ASSERT_EQ(batch.value().events.size(), 2U);
+        EXPECT_EQ(batch.value().events[1].object.name, "bergamo");
+        EXPECT_TRUE(batch.value().events[1].deleted);
+        EXPECT_EQ(batch.value().position.revision, 5U);
+    }
+}
+
+// Guards against an own entry, or a snapshot, that stays lost because another writer has overwritten it.
+TEST_F(StoreClientTest, AnUnreadableObjectCanBeReplaced)
+{
+    for (const auto &value : unreadableValues()) {
+        replies.push_back({.status = 200, .body = storedText("side-1", 12, value)});
+        std::optional<Answer<Object>> read;
+        client->read("agents", "side-1", storeIn(read));
+        const auto object = wait(read);
+        ASSERT_TRUE(object) << value.substr(0, 20);
+        EXPECT_EQ(object.value().version, 12U);
+        EXPECT_TRUE(object.value().value.is_null());
+    }
+}
+
 TEST_F(StoreClientTest, LostHistoryRequiresANewList)
 {
     addReply(410, json::object());
