The platform's client passes over values that cannot be decoded

Found by reading.

Change: listed and watched objects are decoded one by one; a value that cannot be decoded is null, with a warning that names the object.

--- a/src/platform.cc
+++ b/src/platform.cc
@@ -11,6 +11,7 @@
 #include <curl/curl.h>
 #include <fmt/format.h>
 
+#include "oriolelever/json-parts.h"
 #include "oriolelever/log.h"
 
 namespace oriolelever {
@@ -96,6 +97,19 @@
     return {Code::PlatformRefused, fmt::format("the platform's answer for {} cannot be read", subject)};
 }
 
+// An object of another writer may have a value that cannot be decoded: it counts with a null value, and the
+// other objects of the answer hold.
+bool parseListedObject(std::string_view text, const std::string &subject, Object &out)
+{
+    if (parseObject(decodeJson(text), out)) {
+        return true;
+    }
+    const bool isNamed = parseObject(decodeMembers(text), out);
+    platformLog().warn("{}: object \"{}\" cannot be read{}", subject, isNamed ? out.name : std::string(),
+                       isNamed ? ", its value is ignored" : " and is ignored");
+    return isNamed;
+}
+
 Answer<Object> objectAnswer(const HttpAnswer &answer, CallKind kind, const std::string &subject)
 {
     auto error = interpretAnswer(answer, kind, subject);
@@ -103,7 +117,7 @@
         return error;
     }
     Object object;
-    if (!parseObject(nlohmann::json::parse(answer.body, nullptr, false), object)) {
+    if (!parseListedObject(answer.body, subject, object)) {
         return kind == CallKind::Write ? Error{Code::PlatformOutcomeUnknown, malformedAnswer(subject).text}
                                        : malformedAnswer(subject);
     }
@@ -119,23 +133,38 @@
     return true;
 }
 
+// Splits an answer into its revision and the elements of `member`; unset if it is malformed.
+std::optional<std::vector<std::string_view>> splitAnswer(std::string_view body, std::string_view member,
+                                                         std::uint64_t &revision)
+{
+    const auto members = splitObject(body);
+    if (!members) {
+        return {};
+    }
+    const auto json = decodeJson(memberText(*members, "revision"));
+    if (!json.is_number_unsigned()) {
+        return {};
+    }
+    revision = json.get<std::uint64_t>();
+    return splitArray(memberText(*members, member));
+}
+
 Answer<ObjectList> listAnswer(const HttpAnswer &answer, const std::string &subject)
 {
     auto error = interpretAnswer(answer, CallKind::Read, subject);
     if (error.code != Code::Ok) {
         return error;
     }
-    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
     ObjectList list;
-    if (!parseRevision(json, list.position.revision) || !json.contains("objects")) {
+    const auto items = splitAnswer(answer.body, "objects", list.position.revision);
+    if (!items) {
         return malformedAnswer(subject);
     }
-    for (const auto &item : json["objects"]) {
+    for (const auto item : *items) {
         Object object;
-        if (!parseObject(item, object)) {
-            return malformedAnswer(subject);
+        if (parseListedObject(item, subject, object)) {
+            list.objects.push_back(std::move(object));
         }
-        list.objects.push_back(std::move(object));
     }
     return list;
 }
@@ -149,17 +178,18 @@
     if (error.code != Code::Ok) {
         return error;
     }
-    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
     WatchBatch batch;
-    if (!parseRevision(json, batch.position.revision) || !json.contains("events")) {
+    const auto items = splitAnswer(answer.body, "events", batch.position.revision);
+    if (!items) {
         return malformedAnswer(subject);
     }
-    for (const auto &item : json["events"]) {
+    for (const auto item : *items) {
         WatchEvent event;
-        if (!parseObject(item, event.object)) {
-            return malformedAnswer(subject);
+        if (!parseListedObject(item, subject, event.object)) {
+            continue;
         }
-        event.deleted = item.value("deleted", false);
+        event.deleted
+            = memberText(splitObject(item).value_or(std::vector<JsonMember>()), "deleted") == "true";
         batch.events.push_back(std::move(event));
     }
     return batch;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "fake-platform.h"
+#include "oriolelever/http-service.h"
 #include "platform-standin.h"
 
 using namespace oriolelever;
@@ -115,6 +116,35 @@
     EXPECT_TRUE(batch.value().events[0].deleted);
 }
 
+// Guards against a list or watch that fails for good because of one entry of another writer.
+TEST_F(PlatformClientTest, AnUnreadableValueLeavesTheOtherObjects)
+{
+    const std::string objects = R"([{"kind":"zone","name":"a","version":1,"value":{"state":"in"}},)"
+                                R"({"kind":"zone","name":"b","version":2,"value":{"state":"\ud83d"}},)"
+                                R"({"kind":"zone","name":"c","version":3,"value":1e400,"deleted":true}])";
+    Endpoint loopback;
+    ASSERT_TRUE(parseEndpoint("127.0.0.1:0", loopback));
+    HttpService service(m_control, loopback, [&](const HttpRequest &request) {
+        const std::string member = request.path.find("watch") == std::string::npos ? "objects" : "events";
+        return HttpReply{.body = R"({"revision":9,")" + member + "\":" + objects + "}"};
+    });
+    while (service.port() == 0) {
+        m_control.run_one();
+    }
+    PlatformClient client({.url = "http://127.0.0.1:" + std::to_string(service.port()), .timeout = 300ms});
+    client.startOn(m_control);
+    const auto list = wait<ObjectList>([&](auto done) { client.list("zone", done); });
+    ASSERT_TRUE(list);
+    ASSERT_EQ(list.value().objects.size(), 3U);
+    EXPECT_EQ(list.value().objects[0].value["state"], "in");
+    EXPECT_TRUE(list.value().objects[1].value.is_null());
+    const auto batch
+        = wait<WatchBatch>([&](auto done) { client.watch({"zone"}, {.revision = 1}, 100ms, done); });
+    ASSERT_TRUE(batch);
+    ASSERT_EQ(batch.value().events.size(), 3U);
+    EXPECT_TRUE(batch.value().events[2].deleted);
+}
+
 TEST_F(PlatformClientTest, WatchReportsChangesAndGaps)
 {
     const auto created = write(zone("in"));
