Agents log the limits that balancers state and the flows that they forget

Change: limits_changed with the balancer that stated them, and flows_forgotten with count and limit. Decisions are unchanged.

--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -313,8 +313,9 @@
 /// The recorded holder, null if there is none.
 const IpAddress *notedHolder(const GateState &state, const FlowKey &flow);
 
-/// Removes flows that were idle for longer than callers and servers keep them, and expired notes.
-void expireEntries(GateState &state, TimePoint now);
+/// Removes flows that were idle for longer than callers and servers keep them, and expired notes. Returns how
+/// many of the flows had not ended.
+std::size_t expireEntries(GateState &state, TimePoint now);
 
 /// Returns the established flows of the server for a balancer that keeps them, those used last first; none
 /// while the agent does not know its server, or may not know most of its flows yet.
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -556,6 +556,11 @@
                         hello.remembered->capacity.evidence);
         }
     }
+    if (m_state.coldFlowsPerSecond != hello.coldFlowsPerSecond || m_state.idleTimeout != hello.idleLimit) {
+        m_log.write(m_now, "limits_changed", "balancer", from.address, "cold_flows_per_second",
+                    hello.coldFlowsPerSecond, "idle_limit_ms", hello.idleLimit, "idle_limit_before_ms",
+                    m_state.idleTimeout);
+    }
     m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
     m_state.idleTimeout = hello.idleLimit;
     learnDocuments(hello.documents);
@@ -706,7 +711,10 @@
     }
     if (now - m_lastExpiry > expiryPeriod) {
         m_lastExpiry = now;
-        expireEntries(m_state, now);
+        if (const auto forgotten = expireEntries(m_state, now); forgotten > 0) {
+            m_log.write(now, "flows_forgotten", "count", forgotten, "idle_limit_ms", m_state.idleTimeout,
+                        "left", m_state.flows.size());
+        }
     }
     countSilentFlows(m_state, now);
     m_counters->flows.Set(
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -752,7 +752,7 @@
     return found == state.notes.end() ? nullptr : &found->second.holder;
 }
 
-void expireEntries(GateState &state, TimePoint now)
+std::size_t expireEntries(GateState &state, TimePoint now)
 {
     std::erase_if(state.lostFlows,
                   [&](const auto &entry) { return now - entry.second > state.options.noteRetention; });
@@ -765,6 +765,7 @@
             setRequestUnanswered(state, flow, false);
         }
     }
+    std::size_t forgotten = 0;
     std::erase_if(state.flows, [&](const auto &entry) {
         const auto &flow = entry.second;
         // Twice the timeout, as the server may keep an idle flow for longer than required.
@@ -775,8 +776,10 @@
         state.overdueRequests -= expired && flow.isRequestOverdue ? 1 : 0;
         state.endedFlows -= expired && flow.ended ? 1 : 0;
         state.expectedRequests -= expired && flow.firstRequestExpected ? 1 : 0;
+        forgotten += expired && !flow.ended ? 1 : 0;
         return expired;
     });
+    return forgotten;
 }
 
 std::optional<ServerFlows> listFlows(const GateState &state, TimePoint now)
