A balancer without a configuration states no limits to agents

Cause: that balancer's hellos stated an idle limit of 0 and no limit for cold servers as if it knew them, and agents took what the last hello said. 0 stands for the default of 15 s, so that flows idle for 30 s were forgotten and their packets returned as not held. Logs: limits_changed to 0 by the restarted balancer, flows_forgotten of 9, 8, 9, 13, 12 and 9 flows, then the resets; no agent was restarted, and each agent returned the packets.

Change: a hello says whether the limits are known, by a flag that earlier builds ignore. They are not before a configuration is read, nor before the agent's first report, without which the rate of its service was stated as none. Agents keep each balancer's statement; the longest idle limit and the lowest rate count, and without any statement flows are kept for 10 minutes.

Why it works: an agent forgets a flow only by a limit that a balancer has read from a configuration, and by none that another balancer states to be longer.

Result: ServerGateTest.AnIdleFlowIsForgottenOnlyByALimitThatABalancerKnows and a row of peer-forms-test are new, as is GatePathTest.ABalancerWithoutAConfigurationStatesNoLimits, which fails with hasLimits always set (15 s in place of 7 s).

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -80,6 +80,8 @@
     /// Reports to all balancers at once if these are later revisions than known.
     void learnDocuments(const DocumentRevisions &documents);
     void handleHello(std::span<std::uint8_t> bytes, const Endpoint &from);
+    /// Puts the limits in force that balancers have stated.
+    void updateLimits(TimePoint now);
     void handleServerPacket(std::span<std::uint8_t> bytes);
     void handleNote(std::span<std::uint8_t> bytes);
     /// Answers a search with the holder of the flow, if this agent knows it.
@@ -135,6 +137,7 @@
         std::chrono::milliseconds reportPeriod{0}; ///< As its last Hello stated.
         ZoneId zone; ///< As its last Hello stated; unset before the first.
         bool acceptsCapacity = false; ///< As its last Hello stated.
+        std::optional<FlowLimits> limits; ///< As the last Hello that had any stated.
     };
 
     asio::io_context &m_context;
--- a/include/oriolelever/peer-message.h
+++ b/include/oriolelever/peer-message.h
@@ -95,9 +95,12 @@
 struct Hello
 {
     std::uint64_t lifetime = 0; ///< Identifies a start of the balancer; differs for each start.
+    /// The balancer knows the two limits below. False while it has not read a configuration, or does not know
+    /// the agent's service; processes of earlier versions state the defaults as if they knew them.
+    bool hasLimits = true;
     /// New flows per second that the agent's server can take while cold.
     std::uint32_t coldFlowsPerSecond = noColdLimit;
-    /// Flows that are idle for longer may be forgotten; 0 if unknown.
+    /// Flows that are idle for longer may be forgotten; 0 if the configuration states no limit.
     std::chrono::milliseconds idleLimit{0};
     bool unlisted = false; ///< The agent has no entry in the platform's store.
     /// The agent answers at once with a report that names all flows of its server.
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -58,7 +58,9 @@
     std::chrono::milliseconds noteRetention{75000};
     std::size_t maxNotes = 20000; ///< Bounds the notes to two megabytes.
     std::chrono::milliseconds heartbeatTimeout{3000}; ///< Two and a half heartbeat periods of 1.2 s.
-    std::chrono::milliseconds defaultIdleTimeout{15'000}; ///< Used until a balancer states the timeout.
+    std::chrono::milliseconds defaultIdleTimeout{15'000}; ///< Where the configuration states none.
+    /// Until a balancer has stated whether there is one: longer than flows are idle in use.
+    std::chrono::milliseconds unstatedIdleTimeout{300'000};
     /// Requests per slot with which the server is busy: one that runs and one that waits for it.
     std::uint32_t busyRequestsPerSlot = 2;
     /// How long a new flow counts as a request before its first one arrives: several round trips to a caller.
@@ -139,8 +141,9 @@
     std::uint64_t earlierStartTimeMs = 0;
     std::uint64_t earlierStartSequence = 0;
     TimePoint coldUntil{}; ///< End of the server's slow start, by its last heartbeat.
-    std::uint32_t coldFlowsPerSecond = 0; ///< Of a cold server; 0 until the first Hello of a balancer.
-    std::chrono::milliseconds idleTimeout{0}; ///< As stated by a balancer; 0 if unknown.
+    std::uint32_t coldFlowsPerSecond = 0; ///< Of a cold server; 0 until a balancer has stated it.
+    /// Idle time after which a flow may be forgotten, as balancers have stated; unset before.
+    std::optional<std::chrono::milliseconds> idleTimeout;
     /// Times of the opening packets that were delivered within `coldRateWindow` while a limit for cold
     /// servers applied.
     std::deque<TimePoint> recentOpenings;
@@ -313,6 +316,20 @@
 /// The recorded holder, null if there is none.
 const IpAddress *notedHolder(const GateState &state, const FlowKey &flow);
 
+/// Limits of the configuration that a balancer has in force.
+struct FlowLimits
+{
+    std::uint32_t coldFlowsPerSecond = noColdLimit; ///< New flows of a cold server.
+    std::chrono::milliseconds idleLimit{0}; ///< 0 if the configuration states none.
+
+    bool operator==(const FlowLimits &) const = default;
+};
+
+/// Puts in force what balancers have stated. Balancers may have different versions of the configuration for a
+/// while: the longest idle limit and the lowest rate count, as a flow that is forgotten too early is reset.
+/// If none has stated anything, what is in force stays.
+void applyLimits(GateState &state, const std::vector<FlowLimits> &stated);
+
 /// Removes flows that were idle for longer than callers and servers keep them, and expired notes. Returns how
 /// many of the flows had not ended.
 std::size_t expireEntries(GateState &state, TimePoint now);
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -522,6 +522,24 @@
     learnDocuments({.era = eraTagOf(era)});
 }
 
+void GateNode::updateLimits(TimePoint now)
+{
+    std::vector<FlowLimits> stated;
+    for (const auto &[address, balancer] : m_balancers) {
+        if (balancer.limits) {
+            stated.push_back(*balancer.limits);
+        }
+    }
+    const auto coldFlowsBefore = m_state.coldFlowsPerSecond;
+    const auto idleTimeoutBefore = m_state.idleTimeout;
+    applyLimits(m_state, stated);
+    if (m_state.coldFlowsPerSecond != coldFlowsBefore || m_state.idleTimeout != idleTimeoutBefore) {
+        m_log.write(now, "limits_changed", "balancers", stated.size(), "cold_flows_per_second",
+                    m_state.coldFlowsPerSecond, "idle_limit_ms", *m_state.idleTimeout, "idle_limit_before_ms",
+                    idleTimeoutBefore.value_or(std::chrono::milliseconds::zero()));
+    }
+}
+
 void GateNode::learnDocuments(const DocumentRevisions &documents)
 {
     const auto before = m_state.documents;
@@ -556,13 +574,11 @@
                         hello.remembered->capacity.evidence);
         }
     }
-    if (m_state.coldFlowsPerSecond != hello.coldFlowsPerSecond || m_state.idleTimeout != hello.idleLimit) {
-        m_log.write(m_now, "limits_changed", "balancer", from.address, "cold_flows_per_second",
-                    hello.coldFlowsPerSecond, "idle_limit_ms", hello.idleLimit, "idle_limit_before_ms",
-                    m_state.idleTimeout);
+    if (const FlowLimits limits{hello.coldFlowsPerSecond, hello.idleLimit};
+        hello.hasLimits && balancer.limits != limits) {
+        balancer.limits = limits;
+        updateLimits(m_now);
     }
-    m_state.coldFlowsPerSecond = hello.coldFlowsPerSecond;
-    m_state.idleTimeout = hello.idleLimit;
     learnDocuments(hello.documents);
     if (isNew) {
         m_log.write(m_now, "balancer_heard", "balancer", from.address, "balancer_lifetime", hello.lifetime);
@@ -711,9 +727,11 @@
     }
     if (now - m_lastExpiry > expiryPeriod) {
         m_lastExpiry = now;
+        updateLimits(now);
         if (const auto forgotten = expireEntries(m_state, now); forgotten > 0) {
-            m_log.write(now, "flows_forgotten", "count", forgotten, "idle_limit_ms", m_state.idleTimeout,
-                        "left", m_state.flows.size());
+            m_log.write(now, "flows_forgotten", "count", forgotten, "idle_limit_ms",
+                        m_state.idleTimeout.value_or(m_options.gate.unstatedIdleTimeout), "left",
+                        m_state.flows.size());
         }
     }
     countSilentFlows(m_state, now);
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -36,6 +36,7 @@
 // Earlier builds state them by the message's size alone.
 constexpr std::uint8_t partsStatedFlag = 8;
 constexpr std::uint8_t rememberedFlag = 16; // Of a hello.
+constexpr std::uint8_t limitsUnknownFlag = 32;
 constexpr std::uint8_t capacityFlag = 16; // Of a report.
 constexpr std::uint8_t filterFlag = 32; // Of a report.
 
@@ -295,10 +296,10 @@
     encodePeerHeader(out, {.type = PeerMessageType::Hello, .number = hello.lifetime});
     write16(out.data() + eraTagOffset, hello.documents.era);
     std::uint8_t *body = out.data() + peerHeaderSize;
-    body[0] = static_cast<std::uint8_t>((hello.unlisted ? unlistedFlag : 0)
-                                        | (hello.wantsFlows ? wantsFlowsFlag : 0)
-                                        | (hello.acceptsCapacity ? acceptsCapacityFlag : 0) | partsStatedFlag
-                                        | (hello.remembered ? rememberedFlag : 0));
+    body[0] = static_cast<std::uint8_t>(
+        (hello.unlisted ? unlistedFlag : 0) | (hello.wantsFlows ? wantsFlowsFlag : 0)
+        | (hello.acceptsCapacity ? acceptsCapacityFlag : 0) | partsStatedFlag
+        | (hello.remembered ? rememberedFlag : 0) | (hello.hasLimits ? 0 : limitsUnknownFlag));
     write32(body + 1, hello.coldFlowsPerSecond);
     write32(body + 5, clampedMilliseconds(hello.idleLimit));
     write16(body + 9, clampedMilliseconds16(hello.reportPeriod));
@@ -331,6 +332,7 @@
     }
     out.lifetime = header.number;
     out.unlisted = (body[0] & unlistedFlag) != 0;
+    out.hasLimits = (body[0] & limitsUnknownFlag) == 0;
     out.coldFlowsPerSecond = read32(body + 1);
     out.wantsFlows = (body[0] & wantsFlowsFlag) != 0;
     out.acceptsCapacity = (body[0] & acceptsCapacityFlag) != 0;
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -127,8 +127,7 @@
 
 std::chrono::milliseconds effectiveIdleTimeout(const GateState &state)
 {
-    return state.idleTimeout > std::chrono::milliseconds::zero() ? state.idleTimeout
-                                                                 : state.options.defaultIdleTimeout;
+    return state.idleTimeout.value_or(state.options.unstatedIdleTimeout);
 }
 
 // Whether a copy of the opening packet has been delivered, and the flow has not ended since.
@@ -752,6 +751,21 @@
     return found == state.notes.end() ? nullptr : &found->second.holder;
 }
 
+void applyLimits(GateState &state, const std::vector<FlowLimits> &stated)
+{
+    if (stated.empty()) {
+        return;
+    }
+    state.coldFlowsPerSecond = noColdLimit;
+    state.idleTimeout = std::chrono::milliseconds::zero();
+    for (const auto &limits : stated) {
+        const bool statesIdleLimit = limits.idleLimit > std::chrono::milliseconds::zero();
+        state.coldFlowsPerSecond = std::min(state.coldFlowsPerSecond, limits.coldFlowsPerSecond);
+        state.idleTimeout = std::max(*state.idleTimeout,
+                                     statesIdleLimit ? limits.idleLimit : state.options.defaultIdleTimeout);
+    }
+}
+
 std::size_t expireEntries(GateState &state, TimePoint now)
 {
     std::erase_if(state.lostFlows,
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -560,6 +560,8 @@
     }
     const Hello hello{
         .lifetime = m_options.lifetime,
+        // Without the agent's first report its service and so its rate are unknown.
+        .hasLimits = m_state.hasTable && backend.report.service,
         .coldFlowsPerSecond = coldLimit,
         .idleLimit = m_state.table.idleLimit,
         .unlisted = backend.isEntryMissing,
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -674,6 +674,39 @@
     EXPECT_NE(logs.find("capacity_remembered"), std::string::npos);
 }
 
+// Guards against resets of idle flows: a balancer that has restarted and cannot read the configuration sends
+// hellos to agents whose limits the other balancers know.
+TEST_F(GatePathTest, ABalancerWithoutAConfigurationStatesNoLimits)
+{
+    auto &host = *hosts[0];
+    Metrics otherMetrics;
+    SteeringNode other(context,
+                       {.callerEndpoint = endpoint("127.0.0.5", dataPort),
+                        .agentEndpoint = endpoint("127.0.0.5", linkPort),
+                        .agentPort = dataPort,
+                        .callerPort = dataPort,
+                        .lifetime = 51,
+                        .format = platform::wirePacketFormat()},
+                       host.log, otherMetrics);
+    RoutingTable table{.position = {.revision = 2}, .version = 2, .idleLimit = milliseconds(7000)};
+    table.routes[service] = {.services = {{idOf<ServiceId>(serviceName), 1}}};
+    balancer->setTable(table);
+    const auto limit = [&host] {
+        return host.agent->state().idleTimeout;
+    };
+    runUntil(context, [&] { return limit() == milliseconds(7000); });
+    handleError([&] { return other.open(); }, [](const Error &error) { ADD_FAILURE() << error.text; });
+    other.setListedAgents({host.relayEndpoint.address});
+    const auto &backends = other.state().backends;
+    runUntil(context, [&] { return !backends.empty() && backends[0].reportedAt != TimePoint{}; });
+    // The answer to a hello shows that the agent has read it.
+    const auto reported = backends[0].reportedAt;
+    other.setListedAgents({host.relayEndpoint.address});
+    runUntil(context, [&] { return backends[0].reportedAt > reported; });
+    EXPECT_EQ(limit(), milliseconds(7000));
+    other.stop();
+}
+
 TEST_F(GatePathTest, HostileDatagramsChangeNothing)
 {
     const std::vector<std::uint8_t> noise{1, 2, 3};
--- a/test/peer-forms-test.cc
+++ b/test/peer-forms-test.cc
@@ -107,7 +107,16 @@
                   bytesOf(form.current))
             << "a changed form needs a flag that earlier builds ignore";
     }
+    auto withoutLimits = hello;
+    withoutLimits.hasLimits = false;
     Hello decoded;
+    ASSERT_TRUE(decodeHello(bytesOf("0203000311223344556677882f" + helloRest), decoded));
+    EXPECT_EQ(decoded, withoutLimits);
+    std::array<std::uint8_t, maxPeerMessageSize> encoded{};
+    const auto size = encodeHello(encoded, withoutLimits);
+    EXPECT_EQ(std::vector(encoded.begin(), encoded.begin() + static_cast<std::ptrdiff_t>(size)),
+              bytesOf("0203000311223344556677882f" + helloRest))
+        << "a flag that earlier builds ignore, with the size that they expect";
     EXPECT_FALSE(decodeHello(bytesOf(helloStart + helloRest + "ff"), decoded)) << "no form of any build";
     EXPECT_FALSE(decodeHello(bytesOf("0203000311223344556677881f" + helloRest), decoded))
         << "a part that is stated and not there";
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -299,6 +299,30 @@
     EXPECT_TRUE(state.flows.empty());
 }
 
+// Guards against resets of idle flows that agents forget by a limit that nobody has configured: a balancer
+// that has not read the configuration has no limits to state, and another one may have an earlier version of
+// it.
+TEST_F(ServerGateTest, AnIdleFlowIsForgottenOnlyByALimitThatABalancerKnows)
+{
+    apply(makeHeartbeat(1));
+    admitOpening();
+    acceptOpening();
+    admitData();
+    now += 4 * state.options.defaultIdleTimeout;
+    EXPECT_EQ(expireEntries(state, now), 0U) << "no balancer has read the configuration";
+    const FlowLimits earlier{.coldFlowsPerSecond = 9, .idleLimit = milliseconds(15'000)};
+    const FlowLimits later{.coldFlowsPerSecond = 20, .idleLimit = milliseconds(50'000)};
+    applyLimits(state, {later, earlier});
+    EXPECT_EQ(state.coldFlowsPerSecond, 9U);
+    EXPECT_EQ(expireEntries(state, now), 0U);
+    applyLimits(state, {});
+    EXPECT_EQ(state.coldFlowsPerSecond, 9U) << "silent balancers change nothing";
+    EXPECT_EQ(expireEntries(state, now), 0U);
+    EXPECT_EQ(admitData().action, GateAction::Deliver);
+    now += 2 * later.idleLimit + milliseconds(1);
+    EXPECT_EQ(expireEntries(state, now), 1U);
+}
+
 // Guards against resets of open flows: a balancer that stood still sends a late copy of the opening packet,
 // and the server, which is full by now, returns the copy.
 TEST_F(ServerGateTest, ALateCopyOfItsOpeningDoesNotEndAnOpenFlow)
@@ -814,6 +838,8 @@
     makeReady();
     EXPECT_FALSE(listFlows(state, now)) << "a list of few flows would replace the complete one";
     now += state.options.defaultIdleTimeout + milliseconds(1);
+    EXPECT_FALSE(listFlows(state, now)) << "flows may be idle for longer, as no balancer has stated a limit";
+    applyLimits(state, {{}});
     EXPECT_TRUE(listFlows(state, now));
 }
 
