A table file with deep nesting is a problem with file and line

Operators would see: `oriolelever table import FILE` ends by a signal for a cell nested 500,000 levels deep, as the cell is written by recursion. Found while odd entries were looked at.

--- a/include/oriolelever/json-parts.h
+++ b/include/oriolelever/json-parts.h
@@ -26,6 +26,9 @@
 /// recursion.
 constexpr int maxJsonDepth = 64;
 
+/// Whether the brackets of `text` are nested deeper than `limit`.
+bool isNestedDeeperThan(std::string_view text, int limit);
+
 /// Returns the members of an object; unset if `text` is no object or its brackets and quotes do not match up.
 std::optional<std::vector<JsonMember>> splitObject(std::string_view text);
 
--- a/src/json-parts.cc
+++ b/src/json-parts.cc
@@ -95,7 +95,9 @@
     std::size_t m_position = 0;
 };
 
-bool isDeeperThan(std::string_view text, int limit)
+} // namespace
+
+bool isNestedDeeperThan(std::string_view text, int limit)
 {
     int depth = 0;
     bool isInString = false;
@@ -115,8 +117,6 @@
     return false;
 }
 
-} // namespace
-
 std::optional<std::vector<JsonMember>> splitObject(std::string_view text)
 {
     Scanner scanner(text);
@@ -170,8 +170,8 @@
 
 nlohmann::json decodeJson(std::string_view text)
 {
-    return isDeeperThan(text, maxJsonDepth) ? nlohmann::json(nlohmann::json::value_t::discarded)
-                                            : nlohmann::json::parse(text, nullptr, false);
+    return isNestedDeeperThan(text, maxJsonDepth) ? nlohmann::json(nlohmann::json::value_t::discarded)
+                                                  : nlohmann::json::parse(text, nullptr, false);
 }
 
 nlohmann::json decodeMembers(std::string_view text)
--- a/src/table-file.cc
+++ b/src/table-file.cc
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include "oriolelever/json-parts.h"
+
 namespace oriolelever {
 
 namespace {
@@ -358,6 +360,10 @@
 std::vector<RowEdit> parseTableJson(const std::string &file, std::string_view text,
                                     std::vector<Problem> &problems)
 {
+    if (isNestedDeeperThan(text, maxJsonDepth)) {
+        problems.push_back({file, 1, "json", "", fmt::format("nesting of at most {} levels", maxJsonDepth)});
+        return {};
+    }
     Json json;
     try {
         json = Json::parse(text);
--- a/test/table-test.cc
+++ b/test/table-test.cc
@@ -123,6 +123,16 @@
               (std::vector<std::string>{"t.json:2: json = \"\"; allowed: a JSON array of rows"}));
 }
 
+// Guards against a command that ends by a signal, as a cell is followed by recursion.
+TEST(TableTest, AJsonFileWithDeepNestingIsAProblem)
+{
+    const std::string nested = std::string(500'000, '[') + std::string(500'000, ']');
+    std::vector<Problem> problems;
+    parseTableJson("t.json", R"([{"kind":"zone","name":"bergamo","flows":)" + nested + "}]", problems);
+    ASSERT_EQ(problems.size(), 1U);
+    EXPECT_EQ(problems[0].allowed, "nesting of at most 64 levels");
+}
+
 TEST(TableTest, JsonOutputCanBeImported)
 {
     const std::vector<TableRow> rows{zoneRow(3, 40)};
