A rate for cold servers that a hello cannot state is no limit

Cause: a configured rate of 4,294,967,296 or more was converted to 32 bits, which the language leaves undefined.

Result: RoutingTableTest.ARateTooLargeForAHelloIsNoLimit is new.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -318,6 +318,10 @@
 /// Ends the hold when its time is over; returns whether something else is in force then.
 bool endHold(SteeringState &state, TimePoint now);
 
+/// Returns the new flows per second that a cold server of the service may take: `factor` times the configured
+/// rate plus `slack`. `noColdLimit` if no rate is configured, or the result exceeds what a hello can state.
+std::uint32_t coldFlowLimit(const RoutingTable &table, ServiceId service, double factor, double slack);
+
 /// Sets the period of reports that the agent is asked for.
 void setReportPeriod(SteeringState &state, BackendIndex index, std::chrono::milliseconds period,
                      TimePoint now);
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -1,7 +1,6 @@
 #include "oriolelever/steering-node.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <utility>
 
@@ -552,17 +551,12 @@
     m_helloSentAt.resize(m_state.backends.size());
     m_helloSentAt[index] = now;
     const auto &backend = m_state.backends[index];
-    const auto rate = m_state.table.coldFlowsPerSecond.find(backend.report.service);
-    std::uint32_t coldLimit = noColdLimit;
-    if (rate != m_state.table.coldFlowsPerSecond.end()) {
-        coldLimit = static_cast<std::uint32_t>(
-            std::floor(rate->second * m_options.coldFactor + m_options.coldSlack));
-    }
     const Hello hello{
         .lifetime = m_options.lifetime,
         // Without the agent's first report its service and so its rate are unknown.
         .hasLimits = m_state.hasTable && backend.report.service,
-        .coldFlowsPerSecond = coldLimit,
+        .coldFlowsPerSecond
+        = coldFlowLimit(m_state.table, backend.report.service, m_options.coldFactor, m_options.coldSlack),
         .idleLimit = m_state.table.idleLimit,
         .unlisted = backend.isEntryMissing,
         .wantsFlows = needsFlowFilters(m_state, now),
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -1,6 +1,7 @@
 #include "oriolelever/steering.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -429,6 +430,16 @@
     backend.backlogAt = now;
 }
 
+std::uint32_t coldFlowLimit(const RoutingTable &table, ServiceId service, double factor, double slack)
+{
+    const auto rate = table.coldFlowsPerSecond.find(service);
+    if (rate == table.coldFlowsPerSecond.end()) {
+        return noColdLimit;
+    }
+    const double limit = std::floor(rate->second * factor + slack);
+    return limit < noColdLimit ? static_cast<std::uint32_t>(std::max(limit, 0.0)) : noColdLimit;
+}
+
 void setReportPeriod(SteeringState &state, BackendIndex index, std::chrono::milliseconds period,
                      TimePoint now)
 {
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -961,6 +961,19 @@
 }
 
 // Guards against work for each route that balancers would repeat every 100 ms: they may have 24,000 routes.
+// Guards against a limit that becomes any number, as a configured rate is too large for the message.
+TEST(RoutingTableTest, ARateTooLargeForAHelloIsNoLimit)
+{
+    RoutingTable table;
+    const ServiceId service = idOf<ServiceId>(serviceName);
+    EXPECT_EQ(coldFlowLimit(table, service, 1.5, 5), noColdLimit);
+    for (const auto &[rate, limit] : std::vector<std::pair<double, std::uint32_t>>{
+             {12.5, 23}, {0.1, 5}, {4e9, noColdLimit}, {1e308, noColdLimit}}) {
+        table.coldFlowsPerSecond[service] = rate;
+        EXPECT_EQ(coldFlowLimit(table, service, 1.5, 5), limit) << rate;
+    }
+}
+
 TEST(RoutingTableTest, ServicesHaveTheLeastUrgentPriorityOfTheirRoutes)
 {
     const auto a = idOf<ServiceId>("a");
