--- a/test/documents-test.cc
+++ b/test/documents-test.cc
@@ -172,6 +172,27 @@
     }
 }
 
+// Guards against an agent that ends by itself, or follows its server no longer, after an odd heartbeat.
+TEST(DocumentsTest, AHeartbeatIsRefusedOrReadWhateverItNestsAndCounts)
+{
+    const std::string start(heartbeat, std::string_view(heartbeat).size() - 1);
+    const std::string nested = std::string(500'000, '[') + std::string(500'000, ']');
+    for (const auto &member : {R"("Seq":1e30)", R"("Slots":1e400)", R"("born":18446744073709551616)",
+                               R"("ColdLeftMs":4294967296)"}) {
+        const std::string name = std::string(member).substr(0, std::string_view(member).find(':') + 1);
+        auto text = start + "}";
+        const auto position = text.find(name);
+        ASSERT_NE(position, std::string::npos);
+        text.replace(position, text.find_first_of(",}", position) - position, member);
+        EXPECT_NE(errorOf([&] { return decodeHeartbeat("i-7", text); }), "") << member;
+    }
+    EXPECT_NE(errorOf([&] { return decodeHeartbeat("i-7", start + R"(,"Note":)" + nested + "}"); }), "");
+    auto json = nlohmann::json::parse(heartbeat);
+    json["Addr"] = "10.128.0.9:99999";
+    EXPECT_EQ(errorOf([&] { return decodeHeartbeat("i-7", json.dump()); }), "")
+        << "the agent reaches its server by its own settings";
+}
+
 TEST(DocumentsTest, ReadsTheSettingsOfAProcess)
 {
     const auto decoded = parseBootSettings(settings);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -119,9 +119,12 @@
 // Guards against a list or watch that fails for good because of one entry of another writer.
 TEST_F(PlatformClientTest, AnUnreadableValueLeavesTheOtherObjects)
 {
+    const std::string nested = std::string(500'000, '[') + std::string(500'000, ']');
     const std::string objects = R"([{"kind":"zone","name":"a","version":1,"value":{"state":"in"}},)"
                                 R"({"kind":"zone","name":"b","version":2,"value":{"state":"\ud83d"}},)"
-                                R"({"kind":"zone","name":"c","version":3,"value":1e400,"deleted":true}])";
+                                R"({"kind":"zone","name":"c","version":3,"value":1e400,"deleted":true},)"
+                                R"({"kind":"zone","name":"d","version":4,"value":)"
+        + nested + "}]";
     Endpoint loopback;
     ASSERT_TRUE(parseEndpoint("127.0.0.1:0", loopback));
     HttpService service(m_control, loopback, [&](const HttpRequest &request) {
@@ -135,13 +138,14 @@
     client.startOn(m_control);
     const auto list = wait<ObjectList>([&](auto done) { client.list("zone", done); });
     ASSERT_TRUE(list);
-    ASSERT_EQ(list.value().objects.size(), 3U);
+    ASSERT_EQ(list.value().objects.size(), 4U);
+    EXPECT_TRUE(list.value().objects[3].value.is_null());
     EXPECT_EQ(list.value().objects[0].value["state"], "in");
     EXPECT_TRUE(list.value().objects[1].value.is_null());
     const auto batch
         = wait<WatchBatch>([&](auto done) { client.watch({"zone"}, {.revision = 1}, 100ms, done); });
     ASSERT_TRUE(batch);
-    ASSERT_EQ(batch.value().events.size(), 3U);
+    ASSERT_EQ(batch.value().events.size(), 4U);
     EXPECT_TRUE(batch.value().events[2].deleted);
 }
 
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -224,7 +224,7 @@
 std::vector<std::string> unreadableValues()
 {
     return {R"({"host":"\ud83d"})", R"({"host":1e400})", "{\"host\":\"\xff\"}",
-            std::string(60'000, '[') + std::string(60'000, ']')};
+            std::string(500'000, '[') + std::string(500'000, ']')};
 }
 
 std::string storedText(const std::string &name, int revision, const std::string &spec)
