Opening packets that waited during a long stall are not placed

Callers would see: refusals and waits at servers that hold flows which nobody uses.

Cause: a balancer that had stood still placed every opening packet that it found in its queue, though callers give up after 1.4 s and have by then opened their flows elsewhere by copies.

Change: after a stall of openingTimeout (1.5 s) or more, opening packets are dropped until the queue has been read once, for at most 250 ms; cause stalled. A caller whose packet has just come sends its copy 200 ms later. Shorter stalls are as before.

--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -69,6 +69,9 @@
     /// A repeated opening packet within this time belongs to the same attempt: callers give up opening a flow
     /// after 1.4 s.
     std::chrono::milliseconds openingTimeout{1500};
+    /// Longest time in which packets from a stall are read after it; a queue that has been read ends it
+    /// earlier.
+    std::chrono::milliseconds stallBacklogTime{250};
     /// An opening packet that comes back after this long is refused, as another wait in an agent's queue
     /// would outlast the attempt of its caller.
     std::chrono::milliseconds openingRetryLimit{900};
@@ -194,6 +197,7 @@
     QueryingNote, ///< The holder is unknown; an agent is queried for a note.
     Searching, ///< The packet goes to a noted holder, or is offered to the next server.
     NotReady, ///< Too little is known so far; the caller retransmits.
+    Stalled, ///< An opening packet from before or during a stall of the balancer.
     NoRoute, ///< The configuration has no route for the virtual address.
     NoServer, ///< No server of the route accepts a new flow.
     NotHeld, ///< No server holds the flow.
@@ -275,6 +279,8 @@
     /// When the agents' datagrams came last in a full batch: reports may have been dropped before they were
     /// read.
     TimePoint lastBacklogAt{};
+    /// Until then opening packets may be older than `openingTimeout`, see `handleStall`; zero if none is.
+    TimePoint oldOpeningsUntil{};
     TimePoint lastSearchStartedAt{}; ///< When a search started last.
     TimePoint lastOfferAt{}; ///< When a search last offered a packet to an agent that no note named.
     std::uint32_t selectionCounter = 0; ///< Counts placements; varies the choice of service and tie-breaks.
@@ -296,9 +302,14 @@
 /// nobody, and cannot tell whether a flow's server is alive.
 bool isIsolated(const SteeringState &state, TimePoint now);
 
-/// Handles that the process has not run for a while. The agents' reports of that time are still unread, so
-/// each agent again has `firstReportWait` to report.
-void handleStall(SteeringState &state, TimePoint now);
+/// Handles that the process has not run for `pause`. The agents' reports of that time are still unread, so
+/// each agent again has `firstReportWait` to report. So are callers' packets: after a pause of
+/// `openingTimeout` the opening packets among them are dropped, as most of their callers have given up or use
+/// a flow that a copy has opened at another server.
+void handleStall(SteeringState &state, Duration pause, TimePoint now);
+
+/// The callers' packets that came during a stall have been read.
+void endStall(SteeringState &state);
 
 /// Applies an agent's report.
 void applyReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now);
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -144,6 +144,9 @@
         [this](std::span<std::uint8_t> bytes, const Endpoint &from) { handleAgentMessage(bytes, from); }));
     // All datagrams leave by the agents' socket, so that agents answer to where reports arrive.
     m_callerSocket.afterBatch = [this] {
+        if (!m_callerSocket.isLastBatchFull()) {
+            endStall(m_state);
+        }
         placeDeferredOpenings();
         resolveUnknownFlows(m_now);
         m_agentSocket.flush();
@@ -270,7 +273,7 @@
     const auto now = steadyNow();
     const auto pause = now - m_lastIterationAt;
     if (m_lastIterationAt != TimePoint{} && pause > m_options.stallThreshold) {
-        handleStall(m_state, now);
+        handleStall(m_state, pause, now);
         m_log.write(now, "stood_still", "pause_ms", pause, "agents", m_state.backends.size());
     }
     m_now = now;
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -346,6 +346,8 @@
         return "searching";
     case SteeringCause::NotReady:
         return "not_ready";
+    case SteeringCause::Stalled:
+        return "stalled";
     case SteeringCause::NoRoute:
         return "no_route";
     case SteeringCause::NoServer:
@@ -400,14 +402,22 @@
     });
 }
 
-void handleStall(SteeringState &state, TimePoint now)
+void handleStall(SteeringState &state, Duration pause, TimePoint now)
 {
+    if (pause >= state.options.openingTimeout) {
+        state.oldOpeningsUntil = now + state.options.stallBacklogTime;
+    }
     for (auto &backend : state.backends) {
         backend.reportedAt = {};
         backend.knownSince = now;
     }
 }
 
+void endStall(SteeringState &state)
+{
+    state.oldOpeningsUntil = {};
+}
+
 void applyReport(SteeringState &state, BackendIndex index, const Report &report, TimePoint now)
 {
     auto &backend = state.backends[index];
@@ -544,6 +554,9 @@
     if (segment.returned || (segment.syn && segment.ack)) {
         return drop(SteeringCause::NotFromCaller);
     }
+    if (segment.opens() && now < state.oldOpeningsUntil) {
+        return drop(SteeringCause::Stalled);
+    }
     const auto key = flowFromCaller(segment);
     if (!state.hasTable || !state.hasAgentList) {
         return segment.opens() || segment.rst ? drop(SteeringCause::NotReady)
--- a/test/service-room-test.cc
+++ b/test/service-room-test.cc
@@ -187,7 +187,7 @@
         for (std::size_t balancer = 0; balancer < m_balancers.size(); ++balancer) {
             auto &state = m_balancers[balancer];
             if (m_time == m_stalledUntil[balancer]) {
-                handleStall(state, now());
+                handleStall(state, std::chrono::seconds(1), now());
             }
             if (m_time < m_stalledUntil[balancer]) {
                 continue;
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -321,7 +321,8 @@
 {
     reportThreeReady();
     now += std::chrono::seconds(5);
-    handleStall(state, now);
+    handleStall(state, std::chrono::seconds(5), now);
+    endStall(state);
     EXPECT_FALSE(hasInitialReports(state, now));
     EXPECT_EQ(open(3).cause, SteeringCause::NotReady) << "the caller retransmits it";
     EXPECT_EQ(data(4).cause, SteeringCause::NotReady);
@@ -332,6 +333,26 @@
     EXPECT_EQ(decision.cause, SteeringCause::Undecided) << "two agents have not reported since";
 }
 
+// Guards against flows at servers that nobody uses: a balancer that stood still finds opening packets whose
+// callers have given up, or opened the flow at another server by a copy.
+TEST_F(SteeringTest, OpeningsFromALongStallAreNotPlaced)
+{
+    reportThreeReady();
+    handleStall(state, state.options.openingTimeout - milliseconds(1), now);
+    reportThreeReady();
+    EXPECT_EQ(open(1).cause, SteeringCause::Placed) << "its caller may still wait";
+    handleStall(state, state.options.openingTimeout, now);
+    reportThreeReady();
+    EXPECT_EQ(open(2).cause, SteeringCause::Stalled);
+    EXPECT_EQ(data(1).action, SteeringAction::Forward) << "open flows go on";
+    endStall(state);
+    EXPECT_EQ(open(3).cause, SteeringCause::Placed) << "the packets that were waiting have been read";
+    handleStall(state, state.options.openingTimeout, now);
+    reportThreeReady();
+    now += state.options.stallBacklogTime;
+    EXPECT_EQ(open(4).cause, SteeringCause::Placed) << "without any waiting packet";
+}
+
 TEST_F(SteeringTest, AnUndecidedFlowIsSearchedAtGrowingIntervals)
 {
     reportThreeReady();
