--- a/src/steering.cc
+++ b/src/steering.cc
@@ -223,7 +223,7 @@
     return isDecommissioned(state, backend, now) || isHostLost(state, backend, now);
 }
 
-// Forgets a holder that has turned out wrong or is lost, so that the next packet starts a search.
+// Forgets a holder whose server may not have the flow; a search follows.
 void forgetHolder(SteeredFlow &flow)
 {
     flow.holder = noBackend;
