Decoders refuse what the JSON libraries read past

nlohmann::json and RapidJSON take a zero byte as the end of a text and skip a byte order mark at its start (RapidJSON also a part of one), so that a heartbeat, a configuration, a table file or an element of a list with anything behind a zero byte was taken for a whole one. RapidJSON also accepts a number too large for a double, which becomes infinite, and the second half of a surrogate pair alone, which becomes bytes that are no UTF-8. Names of members were not decoded: one with a byte that is no UTF-8 threw when the object was written, and an escaped name was another name.

The tests fail before: JsonPartsTest.ZeroBytesAndByteOrderMarksAreRefused and NamesAreDecodedToo, DocumentsTest.WhatTheParserAcceptsBeyondTheGrammarIsNull, TableTest.AJsonFileWithAZeroByteIsAProblem.

--- a/include/oriolelever/json-parts.h
+++ b/include/oriolelever/json-parts.h
@@ -26,6 +26,11 @@
 /// recursion.
 constexpr int maxJsonDepth = 64;
 
+/// Whether `text` has a zero byte, or begins with a byte of a byte order mark. RFC 8259 has a place for
+/// neither, but the parsers of nlohmann::json and RapidJSON take the one as the end of the text and skip the
+/// other, RapidJSON also a part of it.
+bool hasIgnoredBytes(std::string_view text);
+
 /// Whether the brackets of `text` are nested deeper than `limit`.
 bool isNestedDeeperThan(std::string_view text, int limit);
 
@@ -38,12 +43,13 @@
 /// Returns the value of the last member of that name, empty if there is none.
 std::string_view memberText(const std::vector<JsonMember> &members, std::string_view name);
 
-/// Returns the value; discarded if it is malformed, is nested deeper than `maxJsonDepth`, or has a text or
-/// number that cannot be represented.
+/// Returns the value of a text as RFC 8259 describes it; discarded if it is malformed, also by a zero byte or
+/// a byte order mark, is nested deeper than `maxJsonDepth`, or has a text or number that cannot be
+/// represented.
 nlohmann::json decodeJson(std::string_view text);
 
-/// Returns an object whose members are decoded one by one: null for each that `decodeJson` discards.
-/// Discarded if `text` is no object.
+/// Returns an object whose members are decoded one by one: null for each value that `decodeJson` discards,
+/// without those whose names it discards. Discarded if `text` is no object.
 nlohmann::json decodeMembers(std::string_view text);
 
 } // namespace oriolelever
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "oriolelever/codes.h"
+#include "oriolelever/json-parts.h"
 
 namespace oriolelever {
 
@@ -223,8 +224,7 @@
             logs.malformedLines += line.empty() ? 0 : 1;
             continue;
         }
-        auto fields = nlohmann::json::parse(line.begin() + static_cast<std::ptrdiff_t>(brace), line.end(),
-                                            nullptr, false);
+        auto fields = decodeJson(std::string_view(line).substr(brace));
         const bool isEvent = fields.is_object() && fields.contains("at") && fields["at"].is_number_integer()
             && fields.contains("node") && fields["node"].is_string() && fields.contains("event")
             && fields["event"].is_string();
--- a/src/json-parts.cc
+++ b/src/json-parts.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace oriolelever {
@@ -97,6 +98,13 @@
 
 } // namespace
 
+bool hasIgnoredBytes(std::string_view text)
+{
+    constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+    const bool beginsWithMark = !text.empty() && byteOrderMark.find(text.front()) != std::string_view::npos;
+    return beginsWithMark || text.find('\0') != std::string_view::npos;
+}
+
 bool isNestedDeeperThan(std::string_view text, int limit)
 {
     int depth = 0;
@@ -170,8 +178,10 @@
 
 nlohmann::json decodeJson(std::string_view text)
 {
-    return isNestedDeeperThan(text, maxJsonDepth) ? nlohmann::json(nlohmann::json::value_t::discarded)
-                                                  : nlohmann::json::parse(text, nullptr, false);
+    if (hasIgnoredBytes(text) || isNestedDeeperThan(text, maxJsonDepth)) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
+    return nlohmann::json::parse(text, nullptr, false);
 }
 
 nlohmann::json decodeMembers(std::string_view text)
@@ -182,8 +192,12 @@
     }
     auto decoded = nlohmann::json::object();
     for (const auto &member : *members) {
+        const auto name = decodeJson(fmt::format("\"{}\"", member.name));
+        if (!name.is_string()) {
+            continue;
+        }
         auto value = decodeJson(member.value);
-        decoded[std::string(member.name)] = value.is_discarded() ? nlohmann::json() : std::move(value);
+        decoded[name.get<std::string>()] = value.is_discarded() ? nlohmann::json() : std::move(value);
     }
     return decoded;
 }
--- a/src/model.cc
+++ b/src/model.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "model.pb.h"
+#include "oriolelever/json-parts.h"
 
 namespace oriolelever {
 
@@ -28,7 +29,7 @@
 {
 public:
     explicit CellReader(const std::string &text)
-        : m_json(Json::parse(text, nullptr, false))
+        : m_json(decodeJson(text))
     {
         if (!m_json.is_object()) {
             m_error = Error{Code::TableInvalid, "row is not a JSON object"};
--- a/src/operator.cc
+++ b/src/operator.cc
@@ -9,6 +9,7 @@
 
 #include "oriolelever/cli.h"
 #include "oriolelever/flags.h"
+#include "oriolelever/json-parts.h"
 #include "oriolelever/log.h"
 
 namespace oriolelever {
@@ -141,7 +142,7 @@
     for (auto &fetched : fetchAll(settings.addresses("operator", "admin"), "/status",
                                   settings.text("operator", "token"), timeout)) {
         ProcessStatus status{.admin = fetched.from};
-        status.status = nlohmann::json::parse(fetched.body, nullptr, false);
+        status.status = decodeJson(fetched.body);
         status.hasAnswered = fetched.status == 200 && status.status.is_object();
         statuses.push_back(std::move(status));
     }
@@ -158,7 +159,7 @@
 {
     InForce best;
     for (const auto &answer : answers) {
-        const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+        const auto json = decodeJson(answer.body);
         if (answer.status != 200 || !json.is_object() || !json.contains("asked")) {
             continue;
         }
--- a/src/platform.cc
+++ b/src/platform.cc
@@ -551,8 +551,7 @@
              done = std::move(done)](const HttpAnswer &answer) {
                 auto error = interpretAnswer(answer, CallKind::Write, subject);
                 std::uint64_t revision = 0;
-                if (error.code == Code::Ok
-                    && !parseRevision(nlohmann::json::parse(answer.body, nullptr, false), revision)) {
+                if (error.code == Code::Ok && !parseRevision(decodeJson(answer.body), revision)) {
                     error = {Code::PlatformOutcomeUnknown, malformedAnswer(subject).text};
                 }
                 done(error.code == Code::Ok ? Answer<std::uint64_t>(revision) : Answer<std::uint64_t>(error));
--- a/src/table-file.cc
+++ b/src/table-file.cc
@@ -364,6 +364,11 @@
         problems.push_back({file, 1, "json", "", fmt::format("nesting of at most {} levels", maxJsonDepth)});
         return {};
     }
+    // The parser takes a zero byte as the end of the file.
+    if (const auto zero = text.find('\0'); zero != std::string_view::npos) {
+        problems.push_back({file, lineAt(text, zero), "json", "zero byte", "a JSON array of rows"});
+        return {};
+    }
     Json json;
     try {
         json = Json::parse(text);
--- a/test/documents-test.cc
+++ b/test/documents-test.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "boot-settings.h"
+#include "json-text.h"
 
 namespace oriolelever::platform {
 namespace {
@@ -128,6 +129,22 @@
     }
 }
 
+// Guards against a configuration of which only a part is applied, and against what JSON cannot represent.
+TEST(DocumentsTest, WhatTheParserAcceptsBeyondTheGrammarIsNull)
+{
+    const auto isNull = [](const std::string &text) {
+        return parseJson(text).IsNull();
+    };
+    EXPECT_FALSE(isNull("[1]"));
+    EXPECT_TRUE(isNull(std::string("[1]\0", 4)));
+    EXPECT_TRUE(isNull(std::string("[1]\0{", 5)));
+    for (const auto *text : {"\xEF\xBB\xBF[1]", "\xEF[1]", "\xBF[1]", "1e309", "33333333333333333e303",
+                             R"("\udc00")", R"({"\udc00":1})", R"("\ud83d")"}) {
+        EXPECT_TRUE(isNull(text)) << text;
+    }
+    EXPECT_FALSE(isNull(R"("\ud83d\udc00 \ud7ff")"));
+}
+
 TEST(DocumentsTest, AConfigurationWithoutRoutesIsRefused)
 {
     std::string problems;
--- a/test/json-parts-test.cc
+++ b/test/json-parts-test.cc
@@ -65,5 +65,37 @@
         decodeJson(std::string(maxJsonDepth + 1, '[') + std::string(maxJsonDepth + 1, ']')).is_discarded());
 }
 
+// Guards against a text of which only the part before a zero byte is read.
+TEST(JsonPartsTest, ZeroBytesAndByteOrderMarksAreRefused)
+{
+    const auto withZero = [](std::string_view before, std::string_view after) {
+        return std::string(before) + '\0' + std::string(after);
+    };
+    for (const auto &text :
+         {withZero("", "[]"), withZero("[]", ""), withZero("[]", "\0"), withZero("[]", "[\"'\x02"),
+          withZero("[1", "]"), withZero("[1,", "2]"), withZero("{\"a", "\":1}"), withZero("{\"a\":", "1}"),
+          withZero("1", ""), std::string("\xEF\xBB\xBF[]")}) {
+        EXPECT_TRUE(decodeJson(text).is_discarded()) << testing::PrintToString(text);
+    }
+    for (const auto &text :
+         {withZero("", "[]"), withZero("[]", ""), withZero("[]\n", ""), withZero("[1,2]", "[3]")}) {
+        EXPECT_FALSE(splitArray(text)) << testing::PrintToString(text);
+    }
+    EXPECT_FALSE(splitObject(withZero("{}", "")));
+    const auto json = decodeMembers(withZero("{\"a\":1", ",\"b\":2}"));
+    EXPECT_TRUE(json["a"].is_null());
+    EXPECT_EQ(json["b"], 2);
+}
+
+// Guards against names that end the process when the object is written, and against two spellings of one
+// name.
+TEST(JsonPartsTest, NamesAreDecodedToo)
+{
+    const auto json = decodeMembers(R"({"\u006eame":"a","\x":1,"tab	":2,"bytes)"
+                                    "\xff"
+                                    R"(":3,"\ud83d":4})");
+    EXPECT_EQ(json.dump(), R"({"name":"a"})");
+}
+
 } // namespace
 } // namespace oriolelever
--- a/test/table-test.cc
+++ b/test/table-test.cc
@@ -133,6 +133,17 @@
     EXPECT_EQ(problems[0].allowed, "nesting of at most 64 levels");
 }
 
+// Guards against a damaged file of which only the rows before the damage are imported.
+TEST(TableTest, AJsonFileWithAZeroByteIsAProblem)
+{
+    std::vector<Problem> problems;
+    const auto edits = parseTableJson(
+        "t.json", std::string("[{\"kind\":\"zone\",\"name\":\"bergamo\"}\n]") + '\0' + "[]", problems);
+    EXPECT_TRUE(edits.empty());
+    ASSERT_EQ(problems.size(), 1U);
+    EXPECT_EQ(problems[0].line, 2);
+}
+
 TEST(TableTest, JsonOutputCanBeImported)
 {
     const std::vector<TableRow> rows{zoneRow(3, 40)};
