--- a/support/fuzz.sh
+++ b/support/fuzz.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the fuzz targets with clang and runs each with a fixed seed: fuzz.sh [RUNS [TARGET...]].
+# Builds the fuzz targets with clang, replays the inputs of fuzz/corpus/TARGET and runs each target with a fixed seed:
+# fuzz.sh [RUNS [TARGET...]].
 set -euo pipefail
 cd "$(dirname "$0")/.."
 runs=${1:-20000}
@@ -18,6 +19,11 @@
 fi
 for target in "${targets[@]}"; do
     log=build-fuzz/$target.log
+    if [ -d "fuzz/corpus/$target" ] && ! "build-fuzz/$target" "fuzz/corpus/$target"/* > "$log" 2>&1; then
+        tail -n 40 "$log"
+        echo "fuzz $target: failed at an input of fuzz/corpus/$target"
+        exit 1
+    fi
     if ! "build-fuzz/$target" -seed=1 -runs="$runs" -max_len=2048 -max_total_time=5 \
         -artifact_prefix="build-fuzz/$target-" > "$log" 2>&1; then
         tail -n 40 "$log"
