Decoders take depth and revisions once; limits are reviewed when a balancer is dropped

splitObject and splitArray share one loop.

An agent reviews the limits that balancers state when one of them is dropped, not each 5 s: nothing else ends a statement. GatePathTest.TheLimitsOfADroppedBalancerEnd covers it and fails without the call; no test did before. clearHolder is the common part of a returned packet and of a lost holder.

--- a/fuzz/wire-fuzz.cc
+++ b/fuzz/wire-fuzz.cc
@@ -109,7 +109,7 @@
 {
     if (const auto elements = splitArray(text)) {
         auto array = Json::array();
-        for (const auto element : *elements) {
+        for (const auto &element : *elements) {
             array.push_back(decodeJson(element));
             if (array.back().is_discarded()) {
                 return array.back();
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -708,9 +708,12 @@
 void GateNode::tick()
 {
     const auto now = steadyNow();
-    std::erase_if(m_balancers, [&](const auto &entry) {
+    const auto dropped = std::erase_if(m_balancers, [&](const auto &entry) {
         return now - entry.second.lastHelloAt > m_options.balancerTimeout;
     });
+    if (dropped > 0) {
+        updateLimits(now);
+    }
     if (isSuspect(m_state, now)) {
         startProbe(now);
     }
@@ -727,7 +730,6 @@
     }
     if (now - m_lastExpiry > expiryPeriod) {
         m_lastExpiry = now;
-        updateLimits(now);
         if (const auto forgotten = expireEntries(m_state, now); forgotten > 0) {
             m_log.write(now, "flows_forgotten", "count", forgotten, "idle_limit_ms",
                         m_state.idleTimeout.value_or(m_options.gate.unstatedIdleTimeout), "left",
--- a/src/json-parts.cc
+++ b/src/json-parts.cc
@@ -36,20 +36,22 @@
         return m_position == m_text.size();
     }
 
-    // Returns the text of the next value, empty if there is none.
-    std::string_view readValue()
+    // Returns the next value, with an empty text if there is none.
+    JsonPart readValue()
     {
         skipSpace();
         const auto start = m_position;
+        int depth = 0;
         bool isComplete = m_position < m_text.size();
         if (isComplete && m_text[m_position] == '"') {
             isComplete = skipString();
         } else if (isComplete && (m_text[m_position] == '{' || m_text[m_position] == '[')) {
-            isComplete = skipBrackets();
+            isComplete = skipBrackets(depth);
         } else {
             m_position = std::min(m_text.find_first_of(",]} \t\r\n", m_position), m_text.size());
         }
-        return isComplete ? m_text.substr(start, m_position - start) : std::string_view();
+        return isComplete ? JsonPart{.text = m_text.substr(start, m_position - start), .depth = depth}
+                          : JsonPart();
     }
 
 private:
@@ -72,9 +74,9 @@
     }
 
     // Counts both kinds of brackets together: a value with mismatched ones is for `decodeJson` to refuse.
-    bool skipBrackets()
+    bool skipBrackets(int &deepest)
     {
-        std::size_t depth = 0;
+        int depth = 0;
         while (m_position < m_text.size()) {
             const char c = m_text[m_position];
             if (c == '"') {
@@ -85,6 +87,7 @@
             }
             ++m_position;
             depth += c == '{' || c == '[' ? 1 : 0;
+            deepest = std::max(deepest, depth);
             if ((c == '}' || c == ']') && --depth == 0) {
                 return true;
             }
@@ -96,6 +99,29 @@
     std::size_t m_position = 0;
 };
 
+// Splits what stands between `open` and `close`, separated by commas; `read` reads one part and returns
+// whether it is complete.
+template<typename Part, typename Read>
+std::optional<std::vector<Part>> splitParts(std::string_view text, char open, char close, const Read &read)
+{
+    Scanner scanner(text);
+    std::vector<Part> parts;
+    if (!scanner.accept(open)) {
+        return {};
+    }
+    bool isClosed = scanner.accept(close);
+    while (!isClosed) {
+        if (!read(scanner, parts.emplace_back())) {
+            return {};
+        }
+        isClosed = !scanner.accept(',');
+        if (isClosed && !scanner.accept(close)) {
+            return {};
+        }
+    }
+    return scanner.isAtEnd() ? std::optional(std::move(parts)) : std::nullopt;
+}
+
 } // namespace
 
 bool hasIgnoredBytes(std::string_view text)
@@ -105,9 +131,10 @@
     return beginsWithMark || text.find('\0') != std::string_view::npos;
 }
 
-bool isNestedDeeperThan(std::string_view text, int limit)
+int nestingDepth(std::string_view text)
 {
     int depth = 0;
+    int deepest = 0;
     bool isInString = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char c = text[i];
@@ -118,70 +145,55 @@
         }
         isInString = c == '"';
         depth += c == '{' || c == '[' ? 1 : c == '}' || c == ']' ? -1 : 0;
-        if (depth > limit) {
-            return true;
-        }
+        deepest = std::max(deepest, depth);
     }
-    return false;
+    return deepest;
 }
 
 std::optional<std::vector<JsonMember>> splitObject(std::string_view text)
 {
-    Scanner scanner(text);
-    std::vector<JsonMember> members;
-    if (!scanner.accept('{')) {
-        return {};
-    }
-    if (scanner.accept('}')) {
-        return scanner.isAtEnd() ? std::optional(members) : std::nullopt;
-    }
-    do {
-        const auto name = scanner.readValue();
+    return splitParts<JsonMember>(text, '{', '}', [](Scanner &scanner, JsonMember &member) {
+        const auto name = scanner.readValue().text;
         if (name.size() < 2 || name.front() != '"' || !scanner.accept(':')) {
-            return {};
-        }
-        const auto value = scanner.readValue();
-        if (value.empty()) {
-            return {};
+            return false;
         }
-        members.push_back({.name = name.substr(1, name.size() - 2), .value = value});
-    } while (scanner.accept(','));
-    return scanner.accept('}') && scanner.isAtEnd() ? std::optional(std::move(members)) : std::nullopt;
+        member = {.name = name.substr(1, name.size() - 2), .value = scanner.readValue()};
+        return !member.value.text.empty();
+    });
 }
 
-std::optional<std::vector<std::string_view>> splitArray(std::string_view text)
+std::optional<std::vector<JsonPart>> splitArray(std::string_view text)
 {
-    Scanner scanner(text);
-    std::vector<std::string_view> elements;
-    if (!scanner.accept('[')) {
-        return {};
-    }
-    if (scanner.accept(']')) {
-        return scanner.isAtEnd() ? std::optional(elements) : std::nullopt;
-    }
-    do {
-        const auto element = scanner.readValue();
-        if (element.empty()) {
-            return {};
-        }
-        elements.push_back(element);
-    } while (scanner.accept(','));
-    return scanner.accept(']') && scanner.isAtEnd() ? std::optional(std::move(elements)) : std::nullopt;
+    return splitParts<JsonPart>(text, '[', ']', [](Scanner &scanner, JsonPart &element) {
+        element = scanner.readValue();
+        return !element.text.empty();
+    });
 }
 
-std::string_view memberText(const std::vector<JsonMember> &members, std::string_view name)
+JsonPart memberPart(const std::vector<JsonMember> &members, std::string_view name)
 {
     const auto found = std::find_if(members.rbegin(), members.rend(),
                                     [&](const JsonMember &member) { return member.name == name; });
-    return found == members.rend() ? std::string_view() : found->value;
+    return found == members.rend() ? JsonPart() : found->value;
 }
 
-nlohmann::json decodeJson(std::string_view text)
+nlohmann::json decodeJson(const JsonPart &part)
 {
-    if (hasIgnoredBytes(text) || isNestedDeeperThan(text, maxJsonDepth)) {
+    if (hasIgnoredBytes(part.text) || part.depth > maxJsonDepth) {
         return nlohmann::json(nlohmann::json::value_t::discarded);
     }
-    return nlohmann::json::parse(text, nullptr, false);
+    return nlohmann::json::parse(part.text, nullptr, false);
+}
+
+nlohmann::json decodeJson(std::string_view text)
+{
+    return decodeJson(JsonPart{.text = text, .depth = nestingDepth(text)});
+}
+
+std::optional<std::uint64_t> decodeRevision(const std::vector<JsonMember> &members, std::string_view name)
+{
+    const auto revision = decodeJson(memberPart(members, name));
+    return revision.is_number_unsigned() ? std::optional(revision.get<std::uint64_t>()) : std::nullopt;
 }
 
 nlohmann::json decodeMembers(std::string_view text)
--- a/src/platform.cc
+++ b/src/platform.cc
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr std::string_view revisionMember = "revision";
 constexpr std::size_t maxAnswerBytes = 64UL << 20;
 constexpr std::chrono::milliseconds idlePollInterval{1000}; ///< Longest wait for activity in `run`.
 
@@ -99,12 +100,12 @@
 
 // An object of another writer may have a value that cannot be decoded: it counts with a null value, and the
 // other objects of the answer hold.
-bool parseListedObject(std::string_view text, const std::string &subject, Object &out)
+bool parseListedObject(const JsonPart &part, const std::string &subject, Object &out)
 {
-    if (parseObject(decodeJson(text), out)) {
+    if (parseObject(decodeJson(part), out)) {
         return true;
     }
-    const bool isNamed = parseObject(decodeMembers(text), out);
+    const bool isNamed = parseObject(decodeMembers(part.text), out);
     platformLog().warn("{}: object \"{}\" cannot be read{}", subject, isNamed ? out.name : std::string(),
                        isNamed ? ", its value is ignored" : " and is ignored");
     return isNamed;
@@ -117,36 +118,38 @@
         return error;
     }
     Object object;
-    if (!parseListedObject(answer.body, subject, object)) {
+    if (!parseListedObject({.text = answer.body, .depth = nestingDepth(answer.body)}, subject, object)) {
         return kind == CallKind::Write ? Error{Code::PlatformOutcomeUnknown, malformedAnswer(subject).text}
                                        : malformedAnswer(subject);
     }
     return object;
 }
 
-bool parseRevision(const nlohmann::json &json, std::uint64_t &out)
+// Splits an answer into its revision and the elements of `member`; unset if it is malformed.
+std::optional<std::vector<JsonPart>> splitAnswer(std::string_view body, std::string_view member,
+                                                 std::uint64_t &revision)
 {
-    if (!json.is_object() || !json.contains("revision") || !json["revision"].is_number_unsigned()) {
-        return false;
+    const auto members = splitObject(body);
+    const auto decoded = members ? decodeRevision(*members, revisionMember) : std::nullopt;
+    if (!decoded) {
+        return {};
     }
-    out = json["revision"].get<std::uint64_t>();
-    return true;
+    revision = *decoded;
+    return splitArray(memberPart(*members, member).text);
 }
 
-// Splits an answer into its revision and the elements of `member`; unset if it is malformed.
-std::optional<std::vector<std::string_view>> splitAnswer(std::string_view body, std::string_view member,
-                                                         std::uint64_t &revision)
+Answer<std::uint64_t> removalAnswer(const HttpAnswer &answer, const std::string &subject)
 {
-    const auto members = splitObject(body);
-    if (!members) {
-        return {};
+    auto error = interpretAnswer(answer, CallKind::Write, subject);
+    if (error.code != Code::Ok) {
+        return error;
     }
-    const auto json = decodeJson(memberText(*members, "revision"));
-    if (!json.is_number_unsigned()) {
-        return {};
+    const auto members = splitObject(answer.body);
+    const auto revision = members ? decodeRevision(*members, revisionMember) : std::nullopt;
+    if (!revision) {
+        return Error{Code::PlatformOutcomeUnknown, malformedAnswer(subject).text};
     }
-    revision = json.get<std::uint64_t>();
-    return splitArray(memberText(*members, member));
+    return *revision;
 }
 
 Answer<ObjectList> listAnswer(const HttpAnswer &answer, const std::string &subject)
@@ -188,8 +191,8 @@
         if (!parseListedObject(item, subject, event.object)) {
             continue;
         }
-        event.deleted
-            = memberText(splitObject(item).value_or(std::vector<JsonMember>()), "deleted") == "true";
+        event.deleted = memberPart(splitObject(item.text).value_or(std::vector<JsonMember>()), "deleted").text
+            == "true";
         batch.events.push_back(std::move(event));
     }
     return batch;
@@ -546,16 +549,8 @@
         .conditionHeader = fmt::format("If-Match: {}", object.version),
         .kind = CallKind::Write,
         .timeout = m_transfers->options().timeout,
-        .done =
-            [subject = subjectOf(object.kind, object.name),
-             done = std::move(done)](const HttpAnswer &answer) {
-                auto error = interpretAnswer(answer, CallKind::Write, subject);
-                std::uint64_t revision = 0;
-                if (error.code == Code::Ok && !parseRevision(decodeJson(answer.body), revision)) {
-                    error = {Code::PlatformOutcomeUnknown, malformedAnswer(subject).text};
-                }
-                done(error.code == Code::Ok ? Answer<std::uint64_t>(revision) : Answer<std::uint64_t>(error));
-            },
+        .done = [subject = subjectOf(object.kind, object.name),
+                 done = std::move(done)](const HttpAnswer &answer) { done(removalAnswer(answer, subject)); },
     });
 }
 
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -223,14 +223,16 @@
     return isDecommissioned(state, backend, now) || isHostLost(state, backend, now);
 }
 
-// Forgets a holder whose server may not have the flow; a search follows.
-void forgetHolder(SteeredFlow &flow)
+// Clears what is known of the flow at its holder, whose server does not have it; a search follows.
+void clearHolder(SteeredFlow &flow)
 {
+    if (flow.isHolderKnown) {
+        flow.unresponsive.clear();
+    }
     flow.holder = noBackend;
     flow.isHolderKnown = false;
     flow.areNotesSent = false;
     flow.answeredAt = {};
-    flow.unresponsive.clear();
 }
 
 // Forwards a packet to the known holder. An acknowledgement that differs from the first one shows that the
@@ -591,7 +593,7 @@
     }
     if (isHolderLost) {
         const auto lostHolder = flow.holder;
-        forgetHolder(flow);
+        clearHolder(flow);
         auto decision = continueSearch(state, route->second, flow, segment, now);
         decision.unconfirmedHolder = lostHolder;
         return decision;
@@ -674,10 +676,8 @@
     if (flow.isHolderKnown) {
         // A server that rejected the opening packet may have accepted a copy from another balancer since.
         flow.rejectedBy = {from};
-        flow.unresponsive.clear();
     }
-    flow.areNotesSent = false;
-    flow.answeredAt = {};
+    clearHolder(flow);
     return continueSearch(state, route->second, flow, segment, now);
 }
 
--- a/src/table-file.cc
+++ b/src/table-file.cc
@@ -360,7 +360,7 @@
 std::vector<RowEdit> parseTableJson(const std::string &file, std::string_view text,
                                     std::vector<Problem> &problems)
 {
-    if (isNestedDeeperThan(text, maxJsonDepth)) {
+    if (nestingDepth(text) > maxJsonDepth) {
         problems.push_back({file, 1, "json", "", fmt::format("nesting of at most {} levels", maxJsonDepth)});
         return {};
     }
--- a/test/gate-path-test.cc
+++ b/test/gate-path-test.cc
@@ -162,7 +162,8 @@
                             .lifetime = lifetime,
                             .format = format,
                             .gate = {.service = idOf<ServiceId>(serviceName), .zone = idOf<ZoneId>("a")},
-                            .flowListPeriod = milliseconds(20)},
+                            .flowListPeriod = milliseconds(20),
+                            .balancerTimeout = balancerTimeout},
             log, *metrics);
         handleError([&]() -> Result<void> { return agent->open(); },
                     [](const Error &error) { ADD_FAILURE() << error.text; });
@@ -183,6 +184,7 @@
     Endpoint outboundEndpoint;
     Endpoint serverEndpoint;
     std::unique_ptr<StandInServer> server;
+    milliseconds balancerTimeout{10'000}; ///< For the next start of the agent.
     EventLog log;
     std::unique_ptr<Metrics> metrics;
     std::unique_ptr<GateNode> agent;
@@ -707,6 +709,42 @@
     other.stop();
 }
 
+// Guards against limits of a balancer that is gone staying in force.
+TEST_F(GatePathTest, TheLimitsOfADroppedBalancerEnd)
+{
+    auto &host = *hosts[0];
+    host.balancerTimeout = milliseconds(1500);
+    host.startAgent(context, linkPort, 21);
+    const auto tableWith = [this](milliseconds idleLimit) {
+        RoutingTable table{.position = {.revision = 2}, .version = 2, .idleLimit = idleLimit};
+        table.routes[service] = {.services = {{idOf<ServiceId>(serviceName), 1}}};
+        return table;
+    };
+    const auto limit = [&host] {
+        return host.agent->state().idleTimeout;
+    };
+    host.sendHeartbeat(6);
+    balancer->setTable(tableWith(milliseconds(7000)));
+    runUntil(context, [&] { return limit() == milliseconds(7000); });
+    {
+        Metrics otherMetrics;
+        SteeringNode other(context,
+                           {.callerEndpoint = endpoint("127.0.0.5", dataPort),
+                            .agentEndpoint = endpoint("127.0.0.5", linkPort),
+                            .agentPort = dataPort,
+                            .callerPort = dataPort,
+                            .lifetime = 51,
+                            .format = platform::wirePacketFormat()},
+                           host.log, otherMetrics);
+        handleError([&] { return other.open(); }, [](const Error &error) { ADD_FAILURE() << error.text; });
+        other.setTable(tableWith(milliseconds(9000)));
+        other.setListedAgents({host.relayEndpoint.address});
+        runUntil(context, [&] { return limit() == milliseconds(9000); });
+        other.stop();
+    }
+    runUntil(context, [&] { return limit() == milliseconds(7000); });
+}
+
 TEST_F(GatePathTest, HostileDatagramsChangeNothing)
 {
     const std::vector<std::uint8_t> noise{1, 2, 3};
--- a/test/json-parts-test.cc
+++ b/test/json-parts-test.cc
@@ -14,15 +14,40 @@
     const auto members = splitObject(text);
     ASSERT_TRUE(members);
     ASSERT_EQ(members->size(), 3U);
-    EXPECT_EQ(memberText(*members, "c"), "null");
+    EXPECT_EQ(memberPart(*members, "c").text, "null");
     EXPECT_EQ((*members)[2].name, R"(a\")");
-    EXPECT_EQ(memberText(*members, "d"), "");
-    const auto elements = splitArray(memberText(*members, "a"));
+    EXPECT_EQ(memberPart(*members, "d").text, "");
+    const auto elements = splitArray(memberPart(*members, "a").text);
     ASSERT_TRUE(elements);
-    const std::vector<std::string_view> expected{"1", R"({"b":"]}\""})", R"("\ud83d")", "1e400"};
+    const std::vector<JsonPart> expected{{"1", 0}, {R"({"b":"]}\""})", 1}, {R"("\ud83d")", 0}, {"1e400", 0}};
     EXPECT_EQ(*elements, expected);
 }
 
+TEST(JsonPartsTest, TheDepthOfPartsIsThatOfTheirText)
+{
+    const std::string text = R"([1,"[[",[],{"a":[[]],"b":{}},[{}]])";
+    EXPECT_EQ(nestingDepth(text), 4);
+    std::vector<int> depths;
+    const auto elements = splitArray(text);
+    ASSERT_TRUE(elements);
+    for (const auto &element : *elements) {
+        EXPECT_EQ(element.depth, nestingDepth(element.text)) << element.text;
+        depths.push_back(element.depth);
+    }
+    EXPECT_EQ(depths, (std::vector<int>{0, 0, 1, 3, 2}));
+}
+
+TEST(JsonPartsTest, ARevisionIsAnUnsignedInteger)
+{
+    const auto members = splitObject(R"({"a":7,"b":-7,"c":"7","d":7.0,"e":18446744073709551615})");
+    ASSERT_TRUE(members);
+    EXPECT_EQ(decodeRevision(*members, "a"), 7U);
+    EXPECT_EQ(decodeRevision(*members, "e"), UINT64_MAX);
+    for (const auto *name : {"b", "c", "d", "f"}) {
+        EXPECT_FALSE(decodeRevision(*members, name)) << name;
+    }
+}
+
 // Guards against an answer that broke off halfway being taken for a shorter one that is whole.
 TEST(JsonPartsTest, ATextThatEndsEarlyIsNotSplit)
 {
