A heartbeat that names another service is not the server's

An agent knows its server's service from its settings, but took a heartbeat of any service: that of another writer, or one that was delayed until its host served another service, counted as a new start of the server.

Without a service in the settings the first heartbeat still names it.

--- a/include/oriolelever/gate-node.h
+++ b/include/oriolelever/gate-node.h
@@ -56,6 +56,8 @@
 
     /// Applies a heartbeat of the backend server and reports a change to all balancers.
     HeartbeatOutcome handleHeartbeat(const ServerHeartbeat &heartbeat);
+    /// Records a heartbeat that cannot be read; `text` says why.
+    void recordUnreadableHeartbeat(const std::string &text);
     /// Handles the deregistration of a server; returns false if another server is present.
     bool handleDeparture(const std::string &id);
     /// Adds balancers that may not know this agent, and sends reports to all.
--- a/include/oriolelever/server-gate.h
+++ b/include/oriolelever/server-gate.h
@@ -38,7 +38,9 @@
 /// Thresholds of the gate.
 struct GateOptions
 {
-    ServiceId service; ///< Used until the first heartbeat, which names the server's service.
+    /// Of the server; heartbeats that name another one are not the server's. Unset if it is not known: the
+    /// first heartbeat then names it.
+    ServiceId service;
     ZoneId zone; ///< Used until the first heartbeat, which names the server's zone.
     /// Window of the limit on new flows of a cold server: one second and the delay of a packet to the server.
     std::chrono::milliseconds coldRateWindow{1100};
@@ -289,12 +291,14 @@
                ///< start.
     StateChanged, ///< Accepted; the server's state has changed.
     Stale, ///< Ignored: of an earlier start, overtaken by a later heartbeat, or after the server left.
+    OtherService, ///< Ignored: names another service than `GateOptions::service`.
 };
 
 /// The name as logs have it.
 std::string_view toString(HeartbeatOutcome outcome);
 
-/// Applies a heartbeat unless it is stale. `timeOfDay` is the Unix time by the host's clock.
+/// Applies a heartbeat unless it is stale or of another service. `timeOfDay` is the Unix time by the host's
+/// clock.
 HeartbeatOutcome applyHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now,
                                 std::chrono::milliseconds timeOfDay);
 
--- a/src/gate-node.cc
+++ b/src/gate-node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -53,6 +54,12 @@
         , returned(family.Add({{"outcome", "returned"}}))
         , dropped(family.Add({{"outcome", "dropped"}}))
         , malformed(family.Add({{"outcome", "malformed"}}))
+        , refusedHeartbeatFamily(prometheus::BuildCounter()
+                                     .Name("oriolelever_refused_heartbeats_total")
+                                     .Help("Heartbeats that are not the backend server's, by reason")
+                                     .Register(registry))
+        , foreignHeartbeats(refusedHeartbeatFamily.Add({{"reason", "other_service"}}))
+        , unreadableHeartbeats(refusedHeartbeatFamily.Add({{"reason", "unreadable"}}))
         , flows(prometheus::BuildGauge()
                     .Name("oriolelever_server_flows")
                     .Help("Open flows of the backend server")
@@ -140,6 +147,9 @@
     prometheus::Counter &returned;
     prometheus::Counter &dropped;
     prometheus::Counter &malformed;
+    prometheus::Family<prometheus::Counter> &refusedHeartbeatFamily;
+    prometheus::Counter &foreignHeartbeats;
+    prometheus::Counter &unreadableHeartbeats;
     prometheus::Gauge &flows;
     prometheus::Gauge &silentFlows;
     prometheus::Gauge &waiting;
@@ -635,6 +645,14 @@
     if (outcome == HeartbeatOutcome::Restarted) {
         resetAllFlows("server_started_anew");
     }
+    if (outcome == HeartbeatOutcome::OtherService) {
+        m_counters->foreignHeartbeats.Increment();
+        m_log.write(
+            now, "heartbeat_refused", "text",
+            fmt::format("server \"{}\" names the service \"{}\", which is not that of this host's server",
+                        heartbeat.id, heartbeat.service));
+        return outcome;
+    }
     if (outcome != HeartbeatOutcome::Accepted || previousState != m_state.serverState) {
         m_log.write(now, "server_heartbeat", "outcome", toString(outcome), "server_id", heartbeat.id,
                     "born_at", heartbeat.startTimeMs, "sequence", heartbeat.sequence, "state",
@@ -645,6 +663,12 @@
     return outcome;
 }
 
+void GateNode::recordUnreadableHeartbeat(const std::string &text)
+{
+    m_counters->unreadableHeartbeats.Increment();
+    m_log.write(steadyNow(), "heartbeat_refused", "text", text);
+}
+
 bool GateNode::handleDeparture(const std::string &id)
 {
     const bool isAccepted = applyDeparture(m_state, id);
--- a/src/server-gate.cc
+++ b/src/server-gate.cc
@@ -324,6 +324,8 @@
         return "new_start";
     case HeartbeatOutcome::StateChanged:
         return "changed";
+    case HeartbeatOutcome::OtherService:
+        return "other_service";
     case HeartbeatOutcome::Stale:
         return "outdated";
     }
@@ -647,6 +649,9 @@
 HeartbeatOutcome applyHeartbeat(GateState &state, ServerHeartbeat heartbeat, TimePoint now,
                                 std::chrono::milliseconds timeOfDay)
 {
+    if (state.options.service && idOf<ServiceId>(heartbeat.service) != state.options.service) {
+        return HeartbeatOutcome::OtherService;
+    }
     const auto &last = state.lastHeartbeat;
     const bool hasHeartbeat = state.lastHeartbeatAt != TimePoint{};
     const bool isNewStart = !hasHeartbeat || heartbeat.startTimeMs != last.startTimeMs;
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -185,6 +185,27 @@
     EXPECT_EQ(admitOpening().action, GateAction::Deliver);
 }
 
+// Guards against resets of a living server's flows, and against a server without a heartbeat getting work of
+// another service: a heartbeat of another writer, or one that was delayed until its host serves another
+// service.
+TEST_F(ServerGateTest, AHeartbeatOfAnotherServiceIsIgnored)
+{
+    auto foreign = makeHeartbeat(1);
+    foreign.service = "nightly-export";
+    EXPECT_EQ(apply(foreign), HeartbeatOutcome::OtherService);
+    EXPECT_EQ(state.lastHeartbeatAt, TimePoint{}) << "the server has not been heard";
+    makeReady();
+    admitOpening();
+    acceptOpening();
+    foreign.startTimeMs += 1000;
+    EXPECT_EQ(apply(foreign), HeartbeatOutcome::OtherService);
+    EXPECT_EQ(apply(makeHeartbeat(8)), HeartbeatOutcome::Accepted) << "not outdated by the other start";
+    EXPECT_EQ(state.flows.size(), 1U);
+    // Without a service in the settings the first heartbeat names it.
+    state.options.service = {};
+    EXPECT_EQ(apply(foreign), HeartbeatOutcome::Restarted);
+}
+
 TEST_F(ServerGateTest, ARestartUnderTheSameIdLosesEarlierFlows)
 {
     makeReady();
