A balancer forgets agents that are gone and bounds those that never reported

An entry of another writer with a valid address that is no agent's stayed in a balancer for its lifetime, with hellos four times a second at first.

A list now marks the agents that have an entry. One without an entry is forgotten 1 s after it became known if it has never reported, 10 minutes after its last report otherwise, unless a flow in the cache names it; the others move up, and flows are updated. At most 16,384 agents that have never reported are kept. A real agent beyond them becomes known by its first report, and until it has had the time for one, no flow is reset as unknown. A report for which there is no place is refused. Logged as agents_excluded and in agents_listed, counted in oriolelever_agents_excluded, oriolelever_agents_forgotten_total and oriolelever_refused_reports_total. After many were forgotten, free memory is given back to the system.

--- a/include/oriolelever/process-metrics.h
+++ b/include/oriolelever/process-metrics.h
@@ -54,4 +54,7 @@
 /// Resident memory of a process in bytes; 0 if it cannot be read. `process` 0 means the calling process.
 std::uint64_t residentMemory(pid_t process = 0);
 
+/// Gives free memory back to the system; takes some milliseconds. The allocator keeps up to 64 MB otherwise.
+void releaseFreeMemory();
+
 } // namespace oriolelever
--- a/include/oriolelever/steering-node.h
+++ b/include/oriolelever/steering-node.h
@@ -155,7 +155,6 @@
     asio::steady_timer m_timer;
     asio::steady_timer m_drainTimer;
     std::unique_ptr<Counters> m_counters;
-    std::vector<TimePoint> m_helloSentAt; ///< When the last hello was sent, by `BackendIndex`.
     TimePoint m_searchesCheckedAt{}; ///< When `resolveUnknownFlows` last looked at the searches.
     TimePoint m_now{}; ///< Read once per datagram batch; zero between batches.
     TimePoint m_lastIterationAt{}; ///< When `updateClock` was last called.
--- a/include/oriolelever/steering.h
+++ b/include/oriolelever/steering.h
@@ -101,6 +101,12 @@
     bool sendsNotes = true; ///< To `noteAgentsFor`, of the holders of flows.
     bool requestsFlowFilters = true; ///< From agents, during searches.
     RoomOptions room;
+    /// Agents of the list that have not reported yet, of which this many are kept at most: an entry may be
+    /// another writer's. An agent beyond them becomes known with its first report.
+    std::size_t maxUnreportedAgents = 16'384;
+    /// After this long without an entry and without a report an agent is forgotten, unless a flow names it.
+    /// One that has never reported is forgotten after `neverReportedTimeout`.
+    std::chrono::milliseconds agentRetention{600'000};
 };
 
 /// Number of servers that a flow's key ranks first, in the balancer's zone and again in the other zones. A
@@ -127,12 +133,15 @@
     TimePoint heldFlowFilterAt{}; ///< When `heldFlowFilter` came.
     std::chrono::milliseconds reportPeriod{200}; ///< As the agent was asked.
     TimePoint reportPeriodSetAt{}; ///< When `reportPeriod` changed last.
+    TimePoint helloSentAt{}; ///< When the last hello was sent to the agent.
     /// The server's pace per slot relative to the median of its service; 1 if they count as equal, or the
     /// server's pace is unknown. Set with each report.
     double relativePace = 1;
     /// Of the agent's former start, until a hello has returned it to the agent.
     std::optional<RememberedCapacity> rememberedCapacity;
+    bool isListed = false; ///< The agent has an entry in the platform's store, by the last list.
     bool isEntryMissing = false; ///< The agent reports, but has no entry in the platform's store.
+    bool hasReported = false; ///< A report has come, maybe before a stall.
     bool hasRefused = false; ///< The agent has returned an opening packet as full since `report`.
 };
 
@@ -269,8 +278,12 @@
     std::unordered_set<ZoneId> evacuatedZones; ///< Their servers get no new flows.
     bool hasEvacuations = false; ///< The evacuated zones were read.
     EraHold hold;
-    std::vector<Backend> backends; ///< Never shrinks, so that a `BackendIndex` stays valid.
+    std::vector<Backend> backends; ///< Positions change in `applyAgentList` alone.
     std::unordered_map<IpAddress, BackendIndex, AddressHash> backendByHost;
+    std::size_t excludedAgents = 0; ///< Hosts of the last list beyond `maxUnreportedAgents`.
+    /// When `excludedAgents` grew last. For a while the excluded hosts count as agents whose reports are
+    /// awaited, as real agents may be among them.
+    TimePoint agentsExcludedAt{};
     std::unordered_map<FlowKey, SteeredFlow> flows; ///< The cache.
     /// By the reports, calculated at most once in a report period for each service.
     std::unordered_map<ServiceId, ServicePace> servicePaces;
@@ -289,11 +302,22 @@
     std::uint32_t zoneCounter = 0; ///< Counts flows that were placed by the zones' room.
 };
 
-/// Returns the agent on `host`, adding it if it is not known yet.
+/// Returns the agent on `host`, adding it if it is not known yet. `noBackend` if there is no place left.
 BackendIndex findOrAddBackend(SteeringState &state, const IpAddress &host, TimePoint now);
 
-/// Applies the hosts of all agents that have an entry in the platform's store.
-void applyAgentList(SteeringState &state, const std::vector<IpAddress> &hosts, TimePoint now);
+/// What a list of agents has changed.
+struct AgentListChange
+{
+    std::size_t excluded = 0; ///< Hosts that are not kept, see `SteeringOptions::maxUnreportedAgents`.
+    std::size_t forgotten = 0; ///< Agents that were known and are no longer.
+};
+
+/// Applies the hosts of all agents that have an entry in the platform's store. Forgets agents that have none
+/// and do not report, see `SteeringOptions::agentRetention`.
+AgentListChange applyAgentList(SteeringState &state, const std::vector<IpAddress> &hosts, TimePoint now);
+
+/// Whether hosts that are not kept may be agents which have not had `wait` for their first report.
+bool awaitsExcludedAgents(const SteeringState &state, std::chrono::milliseconds wait, TimePoint now);
 
 /// Whether each agent has reported or has had `firstReportWait` for it. Until then callers retransmit.
 bool hasInitialReports(const SteeringState &state, TimePoint now);
--- a/lab/cmd-soak.cc
+++ b/lab/cmd-soak.cc
@@ -12,6 +12,8 @@
 
 ABSL_FLAG(double, minutes, 1, "length of the time with faults");
 ABSL_FLAG(int, processes, 12, "balancers and agents together, 4 to 400");
+ABSL_FLAG(int, odd_entries, 0,
+          "play no faults, but entries of this many agents that do not exist; 200000 at most");
 ABSL_FLAG(
     std::string, lie, "",
     "plant a fault that must be found: twice, departure, cold, evacuation, configuration, faults or kill");
@@ -49,6 +51,11 @@
         figures.flowsReset, figures.requestsSent, figures.requestsAnswered, figures.requestsUnanswered);
     fmt::print("largest resident memory: {}\nstalls of the soak: {}\n", outcome.largestMemory,
                outcome.stalls);
+    if (const auto &memory = outcome.balancerMemory; memory.before > 0) {
+        fmt::print("resident memory of the balancers before the entries: {}\nwith them, at most: {}\n"
+                   "at the end: {}\n",
+                   memory.before, memory.with, memory.after);
+    }
     for (const auto &[promise, count] : outcome.judged) {
         fmt::print("judged, {}: {}\n", toString(promise), count);
     }
@@ -74,6 +81,11 @@
         return usageError(
             fmt::format("flag \"--processes\" does not allow \"{}\"; allowed: 4 to 400", processes));
     }
+    const int oddEntries = absl::GetFlag(FLAGS_odd_entries);
+    if (oddEntries < 0 || oddEntries > 200'000) {
+        return usageError(
+            fmt::format("flag \"--odd_entries\" does not allow \"{}\"; allowed: 0 to 200000", oddEntries));
+    }
     SeedRange seeds{.first = absl::GetFlag(FLAGS_seed), .last = absl::GetFlag(FLAGS_seed)};
     if (const auto text = absl::GetFlag(FLAGS_seeds); !text.empty() && !parseSeeds(text, seeds)) {
         return usageError(fmt::format("flag \"--seeds\" does not allow \"{}\"; allowed: FIRST-LAST", text));
@@ -89,13 +101,15 @@
             .directory = std::filesystem::temp_directory_path()
                 / fmt::format("oriolelever-soak-{}-{}", seed, ::getpid()),
             .plant = lie->plant,
+            .oddEntries = oddEntries > 0 ? std::optional<std::size_t>(oddEntries) : std::nullopt,
         };
         bool interrupted = false;
         const int one = handleError(
             [&]() -> Result<int> {
                 BOOST_LEAF_AUTO(outcome, runSoak(options));
                 interrupted = outcome.interrupted;
-                return reportSoak(options, outcome);
+                const bool isUnanswered = options.oddEntries && outcome.figures.requestsUnanswered > 0;
+                return std::max(reportSoak(options, outcome), isUnanswered ? exitOutcomeMissed : exitOk);
             },
             [](const Error &error) { return usageError(error.text); });
         status = std::max(status, one);
@@ -132,7 +146,7 @@
     return {.name = "soak",
             .usage = "--seed N|--seeds FIRST-LAST --minutes M --processes P",
             .summary = "Runs the small programs under faults and checks what callers and servers see.",
-            .flags = {"seed", "seeds", "minutes", "processes", "lie"},
+            .flags = {"seed", "seeds", "minutes", "processes", "lie", "odd_entries"},
             .run = runSoakCommand};
 }
 
--- a/lab/object-store.cc
+++ b/lab/object-store.cc
@@ -29,15 +29,16 @@
     return objects->second.at(name);
 }
 
-ObjectList ObjectStore::list(const std::string &kind) const
+ObjectList ObjectStore::list(const std::string &kind, const std::string &after, std::size_t most) const
 {
     ObjectList list{.position = {.revision = m_revision}};
     const auto objects = m_kinds.find(kind);
     if (objects == m_kinds.end()) {
         return list;
     }
-    for (const auto &[name, object] : objects->second) {
-        list.objects.push_back(object);
+    for (auto next = objects->second.upper_bound(after);
+         next != objects->second.end() && list.objects.size() < most; ++next) {
+        list.objects.push_back(next->second);
     }
     return list;
 }
@@ -101,10 +102,11 @@
         batch.restart = true;
         return batch;
     }
-    for (const auto &event : m_log) {
-        const bool wanted = std::find(kinds.begin(), kinds.end(), event.object.kind) != kinds.end();
-        if (wanted && event.object.version > after) {
-            batch.events.push_back(event);
+    const auto first = std::ranges::upper_bound(m_log, after, {},
+                                                [](const WatchEvent &event) { return event.object.version; });
+    for (auto event = first; event != m_log.end(); ++event) {
+        if (std::ranges::find(kinds, event->object.kind) != kinds.end()) {
+            batch.events.push_back(*event);
         }
     }
     return batch;
--- a/lab/object-store.h
+++ b/lab/object-store.h
@@ -1,6 +1,7 @@
 /// The platform's objects in memory: what the stand-in and the fake have in common.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <map>
 
@@ -15,7 +16,9 @@
     static constexpr std::size_t maxValueBytes = 1UL << 20;
 
     Answer<Object> read(const std::string &kind, const std::string &name) const;
-    ObjectList list(const std::string &kind) const;
+    /// The objects whose names come after `after`, `most` of them at most, in the order of their names.
+    ObjectList list(const std::string &kind, const std::string &after = {},
+                    std::size_t most = SIZE_MAX) const;
     /// `object.value` and `object.changes` are stored if the version is `object.version`; 0 creates.
     Answer<Object> write(const Object &object);
     Answer<std::uint64_t> remove(const std::string &kind, const std::string &name, std::uint64_t version);
--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -10,6 +10,7 @@
 #include <asio/signal_set.hpp>
 #include <fmt/format.h>
 
+#include "documents.h"
 #include "oriolelever/clock.h"
 #include "soak-network.h"
 #include "soak-plan.h"
@@ -132,7 +133,8 @@
         , m_network(m_context, options.seed + 1)
         , m_timer(m_context)
         , m_signals(m_context, SIGINT, SIGTERM)
-        , m_plan(planFaults(options.seed, options.duration))
+        , m_plan(options.oddEntries ? std::vector<PlannedFault>()
+                                    : planFaults(options.seed, options.duration))
     {
     }
 
@@ -383,6 +385,7 @@
                 enter(Phase::Faults, now, m_options.duration);
                 m_outcome.began = now;
                 m_callers->start();
+                planOddEntries(now);
             } else if (now > m_phaseEnds) {
                 m_ledger.processEnded("", "not all balancers became ready", now);
                 m_context.stop();
@@ -426,6 +429,51 @@
         }
     }
 
+    void planOddEntries(TimePoint now)
+    {
+        if (!m_options.oddEntries) {
+            return;
+        }
+        later(now + m_options.duration / 4, [this] {
+            m_outcome.balancerMemory.before = balancerMemory();
+            changeOddEntries(0, true);
+        });
+        later(now + m_options.duration / 2, [this] { changeOddEntries(0, false); });
+    }
+
+    // Writes or removes the entries from `next` on, a few at a time so that callers and servers do not wait.
+    void changeOddEntries(std::size_t next, bool isWritten)
+    {
+        constexpr std::size_t batch = 500;
+        const auto end = std::min(next + batch, *m_options.oddEntries);
+        for (; next < end; ++next) {
+            const auto name = fmt::format("a-{:06}", next);
+            if (isWritten) {
+                m_store->put(std::string(platform::agentKind), name, {{"host", toString(oddHost(next))}});
+            } else {
+                m_store->erase(std::string(platform::agentKind), name);
+            }
+        }
+        if (next < *m_options.oddEntries) {
+            later(steadyNow(), [this, next, isWritten] { changeOddEntries(next, isWritten); });
+        }
+    }
+
+    // Outside the networks of all soaks.
+    static IpAddress oddHost(std::size_t index)
+    {
+        return ipv4Address((127U << 24) + (200U << 16) + static_cast<std::uint32_t>(index));
+    }
+
+    std::uint64_t balancerMemory() const
+    {
+        std::uint64_t bytes = 0;
+        for (const auto &node : m_nodes) {
+            bytes += node->isBalancer ? node->process.residentBytes() : 0;
+        }
+        return bytes;
+    }
+
     void enter(Phase phase, TimePoint now, milliseconds length)
     {
         m_phase = phase;
@@ -454,6 +502,11 @@
                 m_ledger.memorySeen(node->name, bytes, memoryLimit, now);
             }
         }
+        if (seesMemory && m_outcome.balancerMemory.before > 0 && m_phase != Phase::Ending) {
+            m_outcome.balancerMemory.after = balancerMemory();
+            m_outcome.balancerMemory.with
+                = std::max(m_outcome.balancerMemory.with, m_outcome.balancerMemory.after);
+        }
         m_memorySeen = seesMemory ? now : m_memorySeen;
     }
 
@@ -690,6 +743,9 @@
     void keepStoreCopies()
     {
         constexpr milliseconds period{10'000};
+        if (m_options.oddEntries) {
+            return;
+        }
         m_store->keepCopy();
         later(steadyNow() + period, [this] { keepStoreCopies(); });
     }
--- a/lab/soak-run.h
+++ b/lab/soak-run.h
@@ -45,6 +45,14 @@
     UpgradeOrder order = UpgradeOrder::BalancersFirst;
 };
 
+/// Resident bytes of the balancers together, at three times of a run with entries of another writer.
+struct BalancerMemory
+{
+    std::uint64_t before = 0; ///< Before the entries are written.
+    std::uint64_t with = 0; ///< The most while they are there.
+    std::uint64_t after = 0; ///< At the end, after they are gone.
+};
+
 struct SoakOptions
 {
     std::uint64_t seed = 1;
@@ -54,6 +62,9 @@
     std::string directory; ///< For settings and logs; made, and kept if a promise broke.
     SoakPlant plant = SoakPlant::None;
     std::optional<SoakUpgrade> upgrade;
+    /// If set, another writer leaves this many entries of agents that do not exist in the store, from the
+    /// first quarter of the run to its half; no other fault is played, and each request must be answered.
+    std::optional<std::size_t> oddEntries;
 };
 
 struct SoakOutcome
@@ -66,6 +77,7 @@
     std::uint64_t stalls = 0; ///< Times at which the soak itself stood still.
     std::uint64_t largestMemory = 0; ///< Resident bytes of a process.
     TimePoint began{}; ///< Start of the callers.
+    BalancerMemory balancerMemory; ///< Of a run with `SoakOptions::oddEntries`.
     bool interrupted = false;
 };
 
--- a/src/process-metrics.cc
+++ b/src/process-metrics.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 
+#include <malloc.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -134,6 +135,11 @@
     });
 }
 
+void releaseFreeMemory()
+{
+    ::malloc_trim(0);
+}
+
 std::uint64_t residentMemory(pid_t process)
 {
     std::ifstream file(process == 0 ? std::string("/proc/self/statm")
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -8,12 +8,15 @@
 #include <prometheus/gauge.h>
 
 #include "oriolelever/clock.h"
+#include "oriolelever/process-metrics.h"
 #include "peer-log.h"
 
 namespace oriolelever {
 
 namespace {
 
+// So many forgotten agents, and the lists that named them, have taken a megabyte.
+constexpr std::size_t releasedAgents = 1000;
 constexpr std::chrono::seconds expiryPeriod{5}; // Between two removals of idle flows.
 // Agents that are told of a change at once. Each reports it to all balancers, so that one is enough unless
 // its messages are lost.
@@ -68,6 +71,22 @@
                               .Help("Agents that reported lately")
                               .Register(registry)
                               .Add({}))
+        , excludedAgents(
+              prometheus::BuildGauge()
+                  .Name("oriolelever_agents_excluded")
+                  .Help("Listed hosts that are not kept, as too many listed agents have never reported")
+                  .Register(registry)
+                  .Add({}))
+        , forgottenAgents(prometheus::BuildCounter()
+                              .Name("oriolelever_agents_forgotten_total")
+                              .Help("Agents that had neither an entry nor a report any more")
+                              .Register(registry)
+                              .Add({}))
+        , refusedReports(prometheus::BuildCounter()
+                             .Name("oriolelever_refused_reports_total")
+                             .Help("Reports of further agents than a balancer can keep")
+                             .Register(registry)
+                             .Add({}))
         , zoneFlowFamily(prometheus::BuildCounter()
                              .Name("oriolelever_zone_flows_total")
                              .Help("New flows by service, zone of the balancer and zone of the server")
@@ -108,6 +127,9 @@
     prometheus::Gauge &flows;
     prometheus::Gauge &version;
     prometheus::Gauge &reachableAgents;
+    prometheus::Gauge &excludedAgents;
+    prometheus::Counter &forgottenAgents;
+    prometheus::Counter &refusedReports;
     prometheus::Family<prometheus::Counter> &zoneFlowFamily;
     prometheus::Family<prometheus::Gauge> &zoneShareFamily;
     prometheus::Family<prometheus::Gauge> &zoneRoomFamily;
@@ -245,7 +267,6 @@
 void SteeringNode::announceDocuments()
 {
     const auto now = steadyNow();
-    m_helloSentAt.resize(m_state.backends.size());
     std::size_t announced = 0;
     for (std::size_t i = 0; i < m_state.backends.size() && announced < announcedAgentCount; ++i) {
         // Balancers begin at different agents.
@@ -263,8 +284,19 @@
 void SteeringNode::setListedAgents(const std::vector<IpAddress> &hosts)
 {
     const auto now = steadyNow();
-    applyAgentList(m_state, hosts, now);
-    m_log.write(now, "agents_listed", "count", hosts.size(), "known", m_state.backends.size());
+    const auto excludedBefore = m_state.excludedAgents;
+    const auto change = applyAgentList(m_state, hosts, now);
+    m_log.write(now, "agents_listed", "count", hosts.size(), "known", m_state.backends.size(), "forgotten",
+                change.forgotten);
+    if (change.excluded != excludedBefore) {
+        m_log.write(now, "agents_excluded", "count", change.excluded, "before", excludedBefore,
+                    "max_unreported", m_state.options.maxUnreportedAgents);
+    }
+    m_counters->excludedAgents.Set(static_cast<double>(change.excluded));
+    m_counters->forgottenAgents.Increment(static_cast<double>(change.forgotten));
+    if (change.forgotten >= releasedAgents) {
+        releaseFreeMemory();
+    }
     tick();
 }
 
@@ -454,6 +486,10 @@
         return;
     }
     const auto index = findOrAddBackend(m_state, from.address, m_now);
+    if (index == noBackend) {
+        m_counters->refusedReports.Increment();
+        return;
+    }
     const auto &backend = m_state.backends[index];
     const bool wasReachable = isReachable(m_state, backend, m_now);
     const auto previous = backend.report;
@@ -551,9 +587,8 @@
 void SteeringNode::sendHello(BackendIndex index)
 {
     const auto now = steadyNow();
-    m_helloSentAt.resize(m_state.backends.size());
-    m_helloSentAt[index] = now;
-    const auto &backend = m_state.backends[index];
+    auto &backend = m_state.backends[index];
+    backend.helloSentAt = now;
     const Hello hello{
         .lifetime = m_options.lifetime,
         // Without the agent's first report its service and so its rate are unknown.
@@ -591,15 +626,14 @@
         return;
     }
     m_searchesCheckedAt = now;
-    m_helloSentAt.resize(m_state.backends.size());
     for (std::size_t i = 0; i < m_state.backends.size(); ++i) {
         const auto &backend = m_state.backends[i];
         if (!lacksFlowFilter(m_state, backend, now)) {
             continue;
         }
-        const bool namesFlows = backend.heldFlowFilter || backend.reportedAt < m_helloSentAt[i];
+        const bool namesFlows = backend.heldFlowFilter || backend.reportedAt < backend.helloSentAt;
         const auto period = namesFlows ? m_options.flowRequestPeriod : m_options.unansweredFlowRequestPeriod;
-        if (now - m_helloSentAt[i] >= period) {
+        if (now - backend.helloSentAt >= period) {
             sendHello(static_cast<BackendIndex>(i));
         }
     }
@@ -656,7 +690,6 @@
     updateClock();
     const auto now = std::exchange(m_now, TimePoint{});
     updateZones(now);
-    m_helloSentAt.resize(m_state.backends.size());
     const auto reportPeriods = oriolelever::reportPeriods(m_state, now);
     std::size_t reachableAgents = 0;
     for (std::size_t i = 0; i < m_state.backends.size(); ++i) {
@@ -676,7 +709,7 @@
         if (now - lastContact > m_options.staleAgentTimeout) {
             period = m_options.staleAgentHelloPeriod;
         }
-        if (now - m_helloSentAt[i] >= period) {
+        if (now - backend.helloSentAt >= period) {
             sendHello(static_cast<BackendIndex>(i));
         }
     }
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -79,7 +79,10 @@
 UndecidedAgents countUndecidedAgents(const SteeringState &state, const SteeredFlow &flow, const FlowKey &key,
                                      TimePoint now)
 {
-    UndecidedAgents undecidedAgents{.unresponsive = static_cast<std::uint16_t>(flow.unresponsive.size())};
+    UndecidedAgents undecidedAgents{
+        .unresponsive = static_cast<std::uint16_t>(flow.unresponsive.size()),
+        .unreachable = static_cast<std::uint16_t>(
+            awaitsExcludedAgents(state, state.options.neverReportedTimeout, now) ? 1 : 0)};
     const auto flowHash = hashFlow(key);
     for (std::size_t i = 0; i < state.backends.size(); ++i) {
         const auto &backend = state.backends[i];
@@ -368,30 +371,11 @@
     return "unknown";
 }
 
-BackendIndex findOrAddBackend(SteeringState &state, const IpAddress &host, TimePoint now)
-{
-    const auto next = static_cast<BackendIndex>(state.backends.size());
-    const auto [found, isNew] = state.backendByHost.try_emplace(host, next);
-    if (isNew) {
-        state.backends.push_back({.host = host, .hostHash = AddressHash{}(host), .knownSince = now});
-    }
-    return found->second;
-}
-
-void applyAgentList(SteeringState &state, const std::vector<IpAddress> &hosts, TimePoint now)
-{
-    for (auto &backend : state.backends) {
-        backend.isEntryMissing = now - backend.knownSince > state.options.entryCreationTimeout
-            && isReachable(state, backend, now);
-    }
-    for (const auto &host : hosts) {
-        state.backends[findOrAddBackend(state, host, now)].isEntryMissing = false;
-    }
-    state.hasAgentList = true;
-}
-
 bool hasInitialReports(const SteeringState &state, TimePoint now)
 {
+    if (awaitsExcludedAgents(state, state.options.firstReportWait, now)) {
+        return false;
+    }
     return std::none_of(state.backends.begin(), state.backends.end(), [&](const Backend &backend) {
         return backend.reportedAt == TimePoint{} && now - backend.knownSince < state.options.firstReportWait;
     });
@@ -435,6 +419,7 @@
     rememberCapacity(state.options.pace, backend, report, now);
     backend.report = report;
     backend.reportedAt = now;
+    backend.hasReported = true;
     backend.placedFlows = 0;
     updateRelativePace(state, backend, now);
     backend.hasRefused = false;
--- a/test/steering-test.cc
+++ b/test/steering-test.cc
@@ -579,6 +579,114 @@
     EXPECT_FALSE(state.backends[0].isEntryMissing);
 }
 
+// Hosts of another writer's entries.
+class OddEntriesTest : public SteeringTest
+{
+public:
+    static constexpr std::size_t oddHostCount = 100'000;
+
+    OddEntriesTest()
+    {
+        for (std::uint32_t i = 0; i < oddHostCount; ++i) {
+            oddHosts.push_back(ipv4Address(0x0B000000 + i));
+        }
+    }
+
+    // Lists the odd hosts and, behind them, `hosts`.
+    AgentListChange listWithOddHosts(std::initializer_list<std::string_view> hosts)
+    {
+        auto listed = oddHosts;
+        for (const auto host : hosts) {
+            listed.push_back(address(host));
+        }
+        return applyAgentList(state, listed, now);
+    }
+
+    std::vector<IpAddress> oddHosts;
+};
+
+// Guards against an index of agents that overflows, so that packets go to another host than was chosen.
+TEST_F(OddEntriesTest, EachKeptAgentHasAPlaceOfItsOwn)
+{
+    const auto change = listWithOddHosts({});
+    EXPECT_EQ(state.backends.size(), state.options.maxUnreportedAgents);
+    EXPECT_EQ(change.excluded, oddHostCount - state.options.maxUnreportedAgents);
+    EXPECT_EQ(state.backendByHost.size(), state.backends.size());
+    for (const auto &host : oddHosts) {
+        const auto index = findOrAddBackend(state, host, now);
+        ASSERT_TRUE(index == noBackend || state.backends[index].host == host);
+    }
+    EXPECT_EQ(state.backends.size(), noBackend);
+}
+
+TEST_F(OddEntriesTest, AnAgentBeyondTheLimitIsKnownByItsReport)
+{
+    listWithOddHosts({"10.0.0.1"});
+    EXPECT_FALSE(state.backendByHost.contains(address("10.0.0.1")));
+    report("10.0.0.1", {.state = BackendState::Ready, .slots = 2});
+    now += state.options.firstReportWait;
+    EXPECT_EQ(state.backends[open(1).backend].host, address("10.0.0.1"));
+    listWithOddHosts({"10.0.0.1"});
+    EXPECT_TRUE(state.backends[indexOf("10.0.0.1")].isListed);
+}
+
+// Guards against a reset of a flow whose server's agent is among the hosts that are not kept.
+TEST_F(OddEntriesTest, AFlowThatAnExcludedAgentsServerMayHoldIsNotReset)
+{
+    reportThreeReady();
+    listWithOddHosts({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+    now += state.options.firstReportWait;
+    for (const auto host : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+        report(host, state.backends[indexOf(host)].report);
+    }
+    auto decision = answerNoteQueries(7, data(7));
+    while (decision.action == SteeringAction::Forward) {
+        decision = answerNoteQueries(7, returnPacket(7, false, decision.backend, ReturnReason::NotHeld));
+    }
+    EXPECT_EQ(decision.cause, SteeringCause::Undecided);
+    EXPECT_TRUE(awaitsExcludedAgents(state, state.options.neverReportedTimeout, now));
+    now += state.options.neverReportedTimeout;
+    EXPECT_FALSE(awaitsExcludedAgents(state, state.options.neverReportedTimeout, now));
+    listWithOddHosts({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+    EXPECT_FALSE(awaitsExcludedAgents(state, state.options.neverReportedTimeout, now)) << "the same hosts";
+}
+
+// Guards against memory and hellos for hosts that have no entry any more.
+TEST_F(OddEntriesTest, HostsWithoutAnEntryAreForgotten)
+{
+    reportThreeReady();
+    listWithOddHosts({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+    report("10.0.0.9", {.state = BackendState::Ready, .slots = 2, .flows = 0});
+    now += state.options.firstReportWait;
+    report("10.0.0.9", {.state = BackendState::Ready, .slots = 2, .flows = 0});
+    const auto holder = open(1).backend;
+    EXPECT_EQ(holder, indexOf("10.0.0.9")) << "its place is behind those of the odd hosts";
+    EXPECT_GT(state.backends.size(), state.options.maxUnreportedAgents);
+
+    // A list that lacks an entry may be from before it was written.
+    listAgents({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.9"});
+    EXPECT_GT(state.backends.size(), state.options.maxUnreportedAgents);
+    now += state.options.neverReportedTimeout;
+    listAgents({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.9"});
+    EXPECT_EQ(state.backends.size(), 4U);
+    EXPECT_LE(state.backends.capacity(), 8U);
+    EXPECT_EQ(indexOf("10.0.0.9"), 3U);
+    EXPECT_EQ(state.backends[data(1).backend].host, address("10.0.0.9")) << "the flow stays with its server";
+}
+
+TEST_F(OddEntriesTest, AnAgentThatAFlowNamesIsNotForgotten)
+{
+    reportThreeReady();
+    const auto holder = state.backends[openAnsweredFlow(1)].host;
+    now += state.options.agentRetention + milliseconds(1);
+    listAgents({});
+    ASSERT_EQ(state.backends.size(), 1U);
+    EXPECT_EQ(state.backends[0].host, holder);
+    state.flows.clear();
+    listAgents({});
+    EXPECT_EQ(state.backends.size(), 0U);
+}
+
 TEST_F(SteeringTest, AnOlderConfigurationIsIgnored)
 {
     RoutingTable older{.position = {.revision = 9}, .version = 0};
--- a/test/store-server-test.cc
+++ b/test/store-server-test.cc
@@ -66,6 +66,25 @@
     EXPECT_TRUE(watch(position, milliseconds(20)).value().restart);
 }
 
+TEST_F(StoreServerTest, ALongListHasSeveralPages)
+{
+    constexpr int count = 1001;
+    std::vector<std::string> names;
+    for (int i = 0; i < count; ++i) {
+        names.push_back("a-" + std::to_string(10'000 + i));
+        store->put("agents", names.back(), {{"host", "10.0.0.1"}});
+    }
+    const auto callsBefore = store->calls();
+    const auto listed = list("agents");
+    ASSERT_TRUE(listed);
+    EXPECT_EQ(store->calls() - callsBefore, 3U);
+    std::vector<std::string> listedNames;
+    for (const auto &object : listed.value().objects) {
+        listedNames.push_back(object.name);
+    }
+    EXPECT_EQ(listedNames, names);
+}
+
 TEST_F(StoreServerTest, FaultsHaveDistinctErrors)
 {
     store->setFaults({.unavailable = true});
