--- a/lab/soak-run.cc
+++ b/lab/soak-run.cc
@@ -10,7 +10,6 @@
 #include <asio/signal_set.hpp>
 #include <fmt/format.h>
 
-#include "documents.h"
 #include "oriolelever/clock.h"
 #include "soak-network.h"
 #include "soak-plan.h"
@@ -449,9 +448,9 @@
         for (; next < end; ++next) {
             const auto name = fmt::format("a-{:06}", next);
             if (isWritten) {
-                m_store->put(std::string(platform::agentKind), name, {{"host", toString(oddHost(next))}});
+                m_store->putAgent(name, oddHost(next));
             } else {
-                m_store->erase(std::string(platform::agentKind), name);
+                m_store->eraseAgent(name);
             }
         }
         if (next < *m_options.oddEntries) {
--- a/src/steering-agents.cc
+++ b/src/steering-agents.cc
@@ -45,7 +45,7 @@
             state.backendByHost.erase(state.backends[i].host);
         } else if (positions[i] != i) {
             state.backendByHost[state.backends[i].host] = positions[i];
-            state.backends[positions[i]] = std::move(state.backends[i]);
+            state.backends[positions[i]] = state.backends[i];
         }
     }
     state.backends.resize(state.backendByHost.size());
