--- a/fuzz/settings-fuzz.cc
+++ b/fuzz/settings-fuzz.cc
@@ -1,37 +1,46 @@
 // Reader of settings files, for each role.
-#include <cstdio>
+#include <array>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
+#include <string>
 
+#include <sys/mman.h>
 #include <unistd.h>
 
 #include "oriolelever/settings.h"
 
 using namespace oriolelever;
 
+namespace {
+
+void require(bool condition)
+{
+    if (!condition) {
+        std::abort();
+    }
+}
+
+} // namespace
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
-    static const auto path = std::filesystem::temp_directory_path()
-        / ("oriolelever-fuzz-" + std::to_string(::getpid()) + ".ini");
-    std::ofstream(path, std::ios::binary)
-        .write(reinterpret_cast<const char *>(data), static_cast<std::streamsize>(size));
-    for (const auto *const role : {"balancer", "agent", "operator"}) {
+    // A file in memory and specifications that are made once: both would take most of the time otherwise.
+    static const std::array specsOfRoles{settingSpecs("balancer"), settingSpecs("agent"),
+                                         settingSpecs("operator")};
+    static const int file = ::memfd_create("settings", 0);
+    static const auto path = "/proc/self/fd/" + std::to_string(file);
+    require(::ftruncate(file, 0) == 0 && ::pwrite(file, data, size, 0) == static_cast<ssize_t>(size));
+    for (const auto &specs : specsOfRoles) {
         std::vector<Problem> problems;
-        const auto specs = settingSpecs(role);
         const auto settings = readSettings(path, specs, problems);
         for (const auto &problem : problems) {
-            if (toString(problem).empty()) {
-                std::abort();
-            }
+            require(!toString(problem).empty());
         }
         if (!problems.empty()) {
             continue;
         }
         for (const auto &spec : specs) {
-            (void)settings.text(spec.section, spec.key);
+            static_cast<void>(settings.text(spec.section, spec.key));
         }
     }
-    std::filesystem::remove(path);
     return 0;
 }
--- a/src/steering-node.cc
+++ b/src/steering-node.cc
@@ -488,6 +488,7 @@
     const auto index = findOrAddBackend(m_state, from.address, m_now);
     if (index == noBackend) {
         m_counters->refusedReports.Increment();
+        m_log.write(m_now, "report_refused", "server", from.address, "known", m_state.backends.size());
         return;
     }
     const auto &backend = m_state.backends[index];
--- a/support/fuzz.sh
+++ b/support/fuzz.sh
@@ -1,34 +1,27 @@
 #!/usr/bin/env bash
-# Builds the fuzz targets with clang, replays the inputs of fuzz/corpus/TARGET and runs each target with a fixed seed:
-# fuzz.sh [RUNS [TARGET...]].
+# Builds the fuzz targets with clang, replays the inputs of fuzz/corpus/TARGET and then runs each target with a fixed
+# seed and a fixed number of inputs, which start from those: fuzz.sh [RUNS [TARGET...]]. Neither has a time limit.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 runs=${1:-20000}
 shift || true
-build() {
-    cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DORIOLELEVER_FUZZ=ON
-    cmake --build build-fuzz --target fuzz
-}
-mkdir -p build-fuzz
-build > build-fuzz/build.log 2>&1 || { cut -c 1-400 build-fuzz/build.log | tail -n 40; exit 1; }
-targets=("$@")
-if [ ${#targets[@]} -eq 0 ]; then
-    for source in fuzz/*-fuzz.cc; do
-        targets+=("$(basename "$source" .cc)")
-    done
-fi
+source support/fuzz-build.sh "$@"
 for target in "${targets[@]}"; do
     log=build-fuzz/$target.log
-    if [ -d "fuzz/corpus/$target" ] && ! "build-fuzz/$target" "fuzz/corpus/$target"/* > "$log" 2>&1; then
+    inputs=("fuzz/corpus/$target"/*)
+    if ! "build-fuzz/$target" "${inputs[@]}" > "$log" 2>&1; then
         tail -n 40 "$log"
-        echo "fuzz $target: failed at an input of fuzz/corpus/$target"
+        echo "fuzz $target: failed at $(sed -n 's/^Running: //p' "$log" | tail -n 1)"
         exit 1
     fi
-    if ! "build-fuzz/$target" -seed=1 -runs="$runs" -max_len=2048 -max_total_time=5 \
-        -artifact_prefix="build-fuzz/$target-" > "$log" 2>&1; then
+    # New inputs of the random runs go to a folder that is not kept.
+    rm -rf "build-fuzz/$target-finds" "build-fuzz/$target-new"
+    mkdir "build-fuzz/$target-finds" "build-fuzz/$target-new"
+    if ! "build-fuzz/$target" -seed=1 -runs="$runs" -max_len=2048 -artifact_prefix="build-fuzz/$target-finds/" \
+        "build-fuzz/$target-new" "fuzz/corpus/$target" > "$log" 2>&1; then
         tail -n 40 "$log"
-        echo "fuzz $target: failed"
+        print_finds "$target"
         exit 1
     fi
-    echo "fuzz $target: $(grep -oE 'Done [0-9]+ runs' "$log" || echo 'time limit reached')"
+    echo "fuzz $target: ${#inputs[@]} inputs replayed, $(grep -oE 'Done [0-9]+ runs' "$log")"
 done
