--- a/src/steering-agents.cc
+++ b/src/steering-agents.cc
@@ -1,4 +1,4 @@
-// The agents that a balancer keeps in mind, see steering.h.
+// The agents that a balancer knows, see steering.h.
 #include <algorithm>
 
 #include "oriolelever/steering.h"
--- a/src/steering.cc
+++ b/src/steering.cc
@@ -226,7 +226,7 @@
     return isDecommissioned(state, backend, now) || isHostLost(state, backend, now);
 }
 
-// Clears what is known of the flow at its holder, whose server does not have it; a search follows.
+// Clears what is known of the flow at its holder; a search follows.
 void clearHolder(SteeredFlow &flow)
 {
     if (flow.isHolderKnown) {
--- a/support/fuzz-search.sh
+++ b/support/fuzz-search.sh
@@ -1,13 +1,14 @@
 #!/usr/bin/env bash
 # Searches for long, started by hand: fuzz-search.sh [RUNS [TARGET...]], RUNS inputs a target by JOBS processes with the
-# seeds from SEED on. Then reduces what reaches new code to the files of fuzz/corpus/TARGET that are named by a hash;
-# files with other names are kept as they are. A find becomes such a file, and a test of its own.
+# seeds from SEED on, of MAX_LEN bytes at most. Then reduces what reaches new code to the files of fuzz/corpus/TARGET that are
+# named by a hash; files with other names are kept as they are. A find becomes such a file, and a test of its own.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 runs=${1:-10000000}
 shift || true
 jobs=${JOBS:-4}
 seed=${SEED:-1}
+max_len=${MAX_LEN:-2048}
 most_files=199
 source support/fuzz-build.sh "$@"
 
@@ -15,7 +16,7 @@
 search() {
     local target=$1 status=0 job pids=()
     for ((job = 0; job < jobs; ++job)); do
-        "build-fuzz/$target" -seed=$((seed + job)) -runs=$((runs / jobs)) -max_len=2048 -print_final_stats=1 \
+        "build-fuzz/$target" -seed=$((seed + job)) -runs=$((runs / jobs)) -max_len="$max_len" -print_final_stats=1 \
             -artifact_prefix="build-fuzz/$target-finds/" "build-fuzz/$target-new" "fuzz/corpus/$target" \
             > "build-fuzz/$target-$job.log" 2>&1 &
         pids+=($!)
